--- /dev/null
+++ b/authority/allowance.go
@@ -0,0 +1,66 @@
+package authority
+
+import (
+	"github.com/bulrushferry/bulrushferry/clock"
+	"github.com/bulrushferry/bulrushferry/values"
+	"github.com/bulrushferry/bulrushferry/wire"
+)
+
+type (
+	// Policy computes an instance's part of one limit under a state.
+	Policy[T int | float64] func(state *wire.State) T
+
+	// History keeps the states whose holders may still act, so that a part
+	// gained in a newer state is used only once its former holder has stopped.
+	History struct {
+		past []pastState
+	}
+
+	pastState struct {
+		state     *wire.State
+		expiresAt values.Option[clock.Millis]
+	}
+)
+
+// OnState records that a state came into force.
+func (h *History) OnState(state *wire.State) {
+	h.past = append(h.past, pastState{state: state})
+}
+
+// OnConfirmed sets the time after which the states before the given revision
+// no longer bind: no instance has authority on them any more and every request
+// and loan that began under them has ended.
+func (h *History) OnConfirmed(revision int64, expiresAt clock.Millis) {
+	for i := range h.past {
+		past := &h.past[i]
+		if _, set := past.expiresAt.Get(); !set && past.state.GetRevision() < revision {
+			past.expiresAt = values.Some(expiresAt)
+		}
+	}
+}
+
+// Prune forgets the states that no longer bind. It reports whether any was
+// forgotten. The last state is always kept.
+func (h *History) Prune(now clock.Millis) bool {
+	kept := h.past[:0]
+	for i, past := range h.past {
+		at, set := past.expiresAt.Get()
+		if i == len(h.past)-1 || !set || now < at {
+			kept = append(kept, past)
+		}
+	}
+	pruned := len(kept) < len(h.past)
+	h.past = kept
+	return pruned
+}
+
+// Allowance returns the least part that any state which still binds gives.
+func Allowance[T int | float64](h *History, part Policy[T]) T {
+	var least T
+	for i, past := range h.past {
+		if p := part(past.state); i == 0 || p < least {
+			least = p
+		}
+	}
+	return least
+}
--- /dev/null
+++ b/authority/view.go
@@ -0,0 +1,242 @@
+// Package authority decides whether an instance may act on what it knows, and
+// which part of every fleet-wide limit it holds. It does no input or output:
+// times and messages come in as arguments, so that tests can run it quickly.
+package authority
+
+import (
+	"github.com/bulrushferry/bulrushferry/clock"
+	"github.com/bulrushferry/bulrushferry/values"
+	"github.com/bulrushferry/bulrushferry/wire"
+)
+
+type (
+	// Config configures a View.
+	Config struct {
+		// Incarnation identifies the running process.
+		Incarnation string
+		PeerAddress string
+		// Term is how long a fresh read or a round of polls lets an instance act.
+		Term clock.Millis
+	}
+
+	// View is what one instance knows of the fleet. It is not safe for
+	// concurrent use.
+	View struct {
+		config      Config
+		state       *wire.State
+		learnedAt   clock.Millis
+		storeReadAt values.Option[clock.Millis]
+		confirmedAt values.Option[clock.Millis]
+		heard       map[string]heardPeer
+		gone        map[string]struct{}
+	}
+
+	// Answer is what a peer said to a poll.
+	Answer struct {
+		Incarnation string
+		PeerAddress string
+		Revision    int64
+		// State is set when the peer's revision was higher than the poller's.
+		State *wire.State
+	}
+
+	heardPeer struct {
+		sentAt   clock.Millis
+		revision int64
+	}
+)
+
+// NewView returns the view of an instance that knows nothing yet.
+func NewView(config Config) *View {
+	return &View{
+		config: config,
+		state:  &wire.State{},
+		// The empty state needs no confirmation.
+		confirmedAt: values.Some[clock.Millis](0),
+		heard:       make(map[string]heardPeer),
+		gone:        make(map[string]struct{}),
+	}
+}
+
+// State returns the state in force. It must not be changed.
+func (v *View) State() *wire.State {
+	return v.state
+}
+
+// OnStoreRead takes in a read of the table service that was sent at sentAt.
+// It reports whether a higher revision came into force.
+func (v *View) OnStoreRead(sentAt, now clock.Millis, state *wire.State) bool {
+	last, ok := v.storeReadAt.Get()
+	if !ok || sentAt > last {
+		v.storeReadAt = values.Some(sentAt)
+	}
+	return v.Advance(now, state)
+}
+
+// OnAnswer takes in a peer's answer to a poll that was sent at sentAt.
+// It reports whether a higher revision came into force.
+func (v *View) OnAnswer(sentAt, now clock.Millis, answer Answer) bool {
+	v.markReplaced(sentAt, answer)
+	last, ok := v.heard[answer.Incarnation]
+	if !ok || sentAt >= last.sentAt {
+		v.heard[answer.Incarnation] = heardPeer{
+			sentAt:   sentAt,
+			revision: max(last.revision, answer.Revision),
+		}
+	}
+	advanced := v.Advance(now, answer.State)
+	v.confirm(now)
+	return advanced
+}
+
+// Advance puts a state in force if its revision is higher than the present one.
+func (v *View) Advance(now clock.Millis, state *wire.State) bool {
+	if state.GetRevision() <= v.state.GetRevision() {
+		return false
+	}
+	v.state = state
+	v.learnedAt = now
+	v.confirmedAt = values.None[clock.Millis]()
+	v.forgetReplaced()
+	v.confirm(now)
+	return true
+}
+
+// StoreFresh reports whether the table service was read within the term.
+func (v *View) StoreFresh(now clock.Millis) bool {
+	at, ok := v.storeReadAt.Get()
+	return ok && now-at < v.config.Term
+}
+
+// HasAuthority reports whether the instance may act on its state: it read the
+// table service within the term, or heard the holders of more than half of
+// the fleet's slots within the term.
+func (v *View) HasAuthority(now clock.Millis) bool {
+	if v.StoreFresh(now) {
+		return true
+	}
+	return majority(v.SlotsHeard(now), len(v.state.GetSeats()))
+}
+
+// SlotsHeard counts the slots whose holders were heard within the term.
+func (v *View) SlotsHeard(now clock.Millis) int {
+	return count(v.state.GetSeats(), func(incarnation string) bool {
+		return v.Heard(now, incarnation, v.config.Term)
+	})
+}
+
+// Heard reports whether an incarnation answered a poll sent within a span.
+func (v *View) Heard(now clock.Millis, incarnation string, span clock.Millis) bool {
+	if incarnation == v.config.Incarnation {
+		return true
+	}
+	peer, ok := v.heard[incarnation]
+	return ok && now-peer.sentAt < span
+}
+
+// Gone reports whether an incarnation is known to have been replaced.
+func (v *View) Gone(incarnation string) bool {
+	_, ok := v.gone[incarnation]
+	return ok
+}
+
+// ConfirmedAt returns when this instance learned that the holders of more than
+// half of the prior slots know the present revision. From then on no instance
+// gains authority on a lower revision.
+func (v *View) ConfirmedAt() (clock.Millis, bool) {
+	return v.confirmedAt.Get()
+}
+
+// Unconfirmed names the prior seat holders not known to have the present
+// revision.
+func (v *View) Unconfirmed() []string {
+	missing := values.NewSet[string]()
+	for _, seat := range v.state.GetPriorSeats() {
+		if seat.GetIncarnation() != "" && !v.knows(seat.GetIncarnation()) {
+			missing = missing.With(seat.GetInstance())
+		}
+	}
+	return missing.Sorted()
+}
+
+// DeclareGone records an operator's word that a process no longer runs.
+func (v *View) DeclareGone(now clock.Millis, instance string) {
+	for _, seats := range [][]*wire.Seat{v.state.GetSeats(), v.state.GetPriorSeats()} {
+		for _, seat := range seats {
+			if seat.GetInstance() == instance && seat.GetIncarnation() != v.config.Incarnation {
+				v.gone[seat.GetIncarnation()] = struct{}{}
+			}
+		}
+	}
+	v.confirm(now)
+}
+
+func (v *View) confirm(now clock.Millis) {
+	if _, ok := v.confirmedAt.Get(); ok {
+		return
+	}
+	prior := v.state.GetPriorSeats()
+	if len(prior) == 0 || majority(count(prior, v.knows), len(prior)) {
+		v.confirmedAt = values.Some(now)
+	}
+}
+
+// knows reports whether an incarnation has the present revision or can never
+// again answer a poll.
+func (v *View) knows(incarnation string) bool {
+	if incarnation == "" || incarnation == v.config.Incarnation || v.Gone(incarnation) {
+		return true
+	}
+	return v.heard[incarnation].revision >= v.state.GetRevision()
+}
+
+// markReplaced records that a seat's address is now served by another process.
+// A seat is given only to a process that serves its address, so whoever answers
+// there to a poll sent after the seat was learned has come after its holder.
+func (v *View) markReplaced(sentAt clock.Millis, answer Answer) {
+	if sentAt < v.learnedAt {
+		return
+	}
+	for _, seats := range [][]*wire.Seat{v.state.GetSeats(), v.state.GetPriorSeats()} {
+		for _, seat := range seats {
+			sameAddress := seat.GetPeerAddress() == answer.PeerAddress
+			if sameAddress && seat.GetIncarnation() != answer.Incarnation {
+				v.gone[seat.GetIncarnation()] = struct{}{}
+			}
+		}
+	}
+}
+
+// forgetReplaced marks earlier processes at this instance's own address as
+// gone, and forgets those that are in no seat any more.
+func (v *View) forgetReplaced() {
+	known := values.NewSet[string]()
+	for _, seats := range [][]*wire.Seat{v.state.GetSeats(), v.state.GetPriorSeats()} {
+		for _, seat := range seats {
+			known = known.With(seat.GetIncarnation())
+			own := seat.GetPeerAddress() == v.config.PeerAddress
+			if own && seat.GetIncarnation() != v.config.Incarnation {
+				v.gone[seat.GetIncarnation()] = struct{}{}
+			}
+		}
+	}
+	for incarnation := range v.gone {
+		if !known.Has(incarnation) {
+			delete(v.gone, incarnation)
+		}
+	}
+}
+
+func majority(part, whole int) bool {
+	return 2*part > whole
+}
+
+func count(seats []*wire.Seat, holds func(incarnation string) bool) int {
+	n := 0
+	for _, seat := range seats {
+		if holds(seat.GetIncarnation()) {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/backend/conn.go
@@ -0,0 +1,131 @@
+package backend
+
+import (
+	"bufio"
+	"errors"
+	"net"
+	"net/netip"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/bulrushferry/bulrushferry/clock"
+	"github.com/valyala/fasthttp"
+)
+
+type (
+	// conn is one connection to a backend server. It carries one request at a
+	// time, and is never used again after a request on it has failed.
+	conn struct {
+		net.Conn
+		reader *bufio.Reader
+		writer *bufio.Writer
+		// usedAt is when the last whole answer came.
+		usedAt clock.Millis
+		// written counts the bytes handed to the operating system.
+		written int64
+	}
+
+	// exchangeLimits bound one exchange on a connection.
+	exchangeLimits struct {
+		requestID string
+		// deadline is when the caller stops waiting.
+		deadline time.Time
+		// budget is the time left until then.
+		budget clock.Millis
+	}
+)
+
+const (
+	// RequestIDHeader names a request towards the backend server, which may
+	// repeat it in its answer.
+	RequestIDHeader = "Bulrushferry-Request-Id"
+	// DeadlineHeader is the time left for a request, in milliseconds.
+	DeadlineHeader = "Deadline-Ms"
+	// DeclinedHeader is set by a backend server that did not run a request.
+	DeclinedHeader = "Not-Run"
+	// DrainingHeader is set by a backend server that is leaving.
+	DrainingHeader = "Draining"
+
+	dialTimeout      = 500 * time.Millisecond
+	maxResponseBytes = 16 << 20
+	bufferBytes      = 8 << 10
+	identityLength   = -2
+)
+
+// dial opens a connection from a source address; the zero address means any.
+func dial(source netip.Addr, address string, deadline time.Time) (*conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout, Deadline: deadline}
+	if source.IsValid() {
+		dialer.LocalAddr = &net.TCPAddr{IP: source.AsSlice()}
+	}
+	raw, err := dialer.Dial("tcp", address)
+	if err != nil {
+		return nil, ErrNotSent.Wrap(err, "connecting to backend server %s", address)
+	}
+	c := &conn{Conn: raw}
+	c.reader = bufio.NewReaderSize(raw, bufferBytes)
+	c.writer = bufio.NewWriterSize(c, bufferBytes)
+	return c, nil
+}
+
+// Write counts the bytes that may reach the backend server.
+func (c *conn) Write(p []byte) (int, error) {
+	c.written += int64(len(p))
+	return c.Conn.Write(p)
+}
+
+// exchange sends a request and reads the whole answer. After any error the
+// connection must be closed.
+func (c *conn) exchange(request *fasthttp.Request, response *fasthttp.Response, limits exchangeLimits) error {
+	c.written = 0
+	request.Header.Set(RequestIDHeader, limits.requestID)
+	request.Header.Set(DeadlineHeader, strconv.FormatInt(int64(limits.budget), 10))
+	if err := c.SetDeadline(limits.deadline); err != nil {
+		return ErrNotSent.Wrap(err, "setting the deadline")
+	}
+	if err := c.send(request); err != nil {
+		return err
+	}
+	response.SkipBody = request.Header.IsHead()
+	if err := response.ReadLimitBody(c.reader, maxResponseBytes); err != nil {
+		return c.readError(err)
+	}
+	return checkAnswer(response, limits.requestID)
+}
+
+func (c *conn) send(request *fasthttp.Request) error {
+	err := request.Write(c.writer)
+	if err == nil {
+		err = c.writer.Flush()
+	}
+	if err == nil {
+		return nil
+	}
+	if c.written == 0 {
+		return ErrNotSent.Wrap(err, "sending the request")
+	}
+	return ErrLost.Wrap(err, "sending the request")
+}
+
+func (c *conn) readError(err error) error {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return ErrTimeout.Wrap(err, "waiting for the answer")
+	}
+	return ErrLost.Wrap(err, "reading the answer")
+}
+
+// checkAnswer makes sure that an answer is whole and belongs to its request.
+func checkAnswer(response *fasthttp.Response, requestID string) error {
+	echoed := response.Header.Peek(RequestIDHeader)
+	if len(echoed) > 0 && string(echoed) != requestID {
+		return ErrForeignAnswer.New("the answer is to request %s", echoed)
+	}
+	if response.Header.ContentLength() == identityLength && !response.SkipBody {
+		return ErrLost.New("the answer has no length, so it cannot be known to be whole")
+	}
+	if len(response.Header.Peek(DeclinedHeader)) > 0 {
+		return ErrDeclined.New("the backend server answered %d", response.StatusCode())
+	}
+	return nil
+}
--- /dev/null
+++ b/bench/main.go
@@ -0,0 +1,4 @@
+// Command bench loads a deployment and measures it.
+package main
+
+func main() {}
--- /dev/null
+++ b/caller/action.go
@@ -0,0 +1,140 @@
+package caller
+
+import (
+	"context"
+	"time"
+
+	"github.com/bulrushferry/bulrushferry/once"
+	"github.com/bulrushferry/bulrushferry/wire"
+	"github.com/joomcode/errorx"
+)
+
+// executeOnce runs an action at the one incarnation that may run it.
+func (e *Executor) executeOnce(ctx context.Context, job Job) Answer {
+	name, prefixed := once.ParseName(job.Action).Get()
+	if !prefixed {
+		return e.executeClaimed(ctx, job)
+	}
+	ticket := e.config.Actions.Begin(e.config.Clock.Now(), onceRequest(&job))
+	if ticket.Decision != once.Foreign {
+		return e.redeem(ctx, job, ticket)
+	}
+	if job.Final {
+		return unknown(CodeActionUnknown, "the instance that may run this action is gone")
+	}
+	return e.passAction(ctx, job, name.Incarnation)
+}
+
+// passAction passes an action to its incarnation. An earlier attempt may have
+// run there, so nothing that fails on the way proves that it did not.
+func (e *Executor) passAction(ctx context.Context, job Job, incarnation string) Answer {
+	address, ok := e.config.Fleet.Address(incarnation).Get()
+	if !ok {
+		return unknown(CodeActionUnknown, "the instance that may run this action cannot be reached")
+	}
+	answer := e.pass(ctx, job, address)
+	if answer.Code == CodeNoCapacity || answer.Code == CodeNoAuthority || answer.Code == CodeKey {
+		return answer.WithUnknown()
+	}
+	return answer
+}
+
+// executeClaimed runs an action whose name its caller chose freely. The name
+// is claimed in the table service first.
+func (e *Executor) executeClaimed(ctx context.Context, job Job) Answer {
+	if ticket, ok := e.config.Actions.Known(onceRequest(&job)).Get(); ok {
+		return e.redeem(ctx, job, ticket)
+	}
+	if job.Final {
+		return unknown(CodeActionUnknown, "the instance that claimed this action no longer knows it")
+	}
+	if !e.config.Fleet.HasAuthority() {
+		return unknown(CodeNoAuthority, "this instance has no recent word from the platform or from more than half of the fleet")
+	}
+	ctx, cancel := context.WithTimeout(ctx, (job.Deadline - e.config.Clock.Now()).Duration())
+	defer cancel()
+	claim, err := e.config.Claimer.Claim(ctx, onceRequest(&job), job.ID)
+	if err != nil {
+		if errorx.IsOfType(err, once.ErrNotClaimed) || errorx.IsOfType(err, once.ErrUnresolved) {
+			return unknown(CodeActionUnknown, "the action's claim cannot be read: use the action prefix of a look-up instead")
+		}
+		return unknown(CodeActionUnknown, err.Error())
+	}
+	if claim.New {
+		ticket := e.config.Actions.BeginClaimed(e.config.Clock.Now(), onceRequest(&job))
+		return e.redeem(ctx, job, ticket)
+	}
+	if claim.Holder == e.config.Fleet.Incarnation() {
+		return unknown(CodeActionUnknown, "an earlier attempt of this action has been forgotten")
+	}
+	return e.passAction(ctx, job, claim.Holder)
+}
+
+// redeem acts on the decision of the table of actions.
+func (e *Executor) redeem(ctx context.Context, job Job, ticket once.Ticket) Answer {
+	switch ticket.Decision {
+	case once.Run:
+		return e.runAction(ctx, job)
+	case once.Wait:
+		return e.awaitAction(ctx, job, ticket)
+	case once.Replay:
+		return replay(ticket.Answer)
+	case once.Conflict:
+		return refuse(CodeActionConflict, "the Idempotency-Key was used for another request")
+	case once.NeverRun:
+		return refuse(CodeNoCapacity, "the instance that issued this action prefix has stopped without running it: ask for a new prefix")
+	case once.Full:
+		return refuse(CodeNoCapacity, "this instance remembers too many actions to take another one")
+	default:
+		return unknown(CodeActionUnknown, "the action prefix is too old: an earlier attempt may have run")
+	}
+}
+
+// runAction runs an action and records its answer whatever happens.
+func (e *Executor) runAction(ctx context.Context, job Job) Answer {
+	answer := unknown(CodeBackend, "the request ended without an answer")
+	defer func() {
+		e.config.Actions.End(onceRequest(&job), &wire.FinishedAction{
+			Action:      job.Action,
+			Workspace:   job.Workspace,
+			Fingerprint: job.Fingerprint,
+			Outcome:     answer.Outcome,
+			Status:      int32(answer.Status()),
+			Response:    encodeResponse(answer.Response),
+		})
+	}()
+	answer = e.admitAndPlace(ctx, job)
+	return answer
+}
+
+// awaitAction waits for the attempt that is running.
+func (e *Executor) awaitAction(ctx context.Context, job Job, ticket once.Ticket) Answer {
+	timer := time.NewTimer((job.Deadline - e.config.Clock.Now()).Duration())
+	defer timer.Stop()
+	select {
+	case <-ticket.Done:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	if known, ok := e.config.Actions.Known(onceRequest(&job)).Get(); ok && known.Decision == once.Replay {
+		return replay(known.Answer)
+	}
+	return unknown(CodeActionUnknown, "another attempt of this action has not ended yet")
+}
+
+// replay returns the remembered answer of a finished action.
+func replay(action *wire.FinishedAction) Answer {
+	if len(action.GetResponse()) == 0 {
+		answer := unknown(CodeActionUnknown, "an earlier attempt of this action ended without a whole answer")
+		if action.GetOutcome() == wire.Outcome_OUTCOME_NOT_RUN {
+			answer.Outcome = wire.Outcome_OUTCOME_NOT_RUN
+			answer.Message = "the instance that issued this action prefix has stopped without running it: ask for a new prefix"
+		}
+		return answer
+	}
+	response, err := decodeResponse(action.GetResponse())
+	if err != nil {
+		return unknown(CodeActionUnknown, "the remembered answer cannot be read")
+	}
+	return Answer{Outcome: action.GetOutcome(), Response: response}
+}
--- /dev/null
+++ b/caller/blocks.go
@@ -0,0 +1,156 @@
+package caller
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"sort"
+	"sync/atomic"
+
+	"github.com/bulrushferry/bulrushferry/wire"
+)
+
+type (
+	// BlockTable finds the site of a client's IPv4 address. It holds the start
+	// of every range of addresses in order, six bytes a range, so that 940,000
+	// blocks fit in a few megabytes.
+	BlockTable struct {
+		starts []uint32
+		sites  []uint16
+	}
+
+	// Block is one block of client addresses and its site.
+	Block struct {
+		Prefix netip.Prefix
+		Site   uint16
+	}
+
+	// blockCache keeps the table of the state in force.
+	blockCache struct {
+		current atomic.Pointer[regionBlocks]
+	}
+
+	regionBlocks struct {
+		state   *wire.State
+		table   *BlockTable
+		regions []string
+	}
+)
+
+// NoSite marks addresses that no block covers.
+const NoSite uint16 = 0xffff
+
+// NewBlockTable builds a table. Of overlapping blocks the longest prefix wins.
+func NewBlockTable(blocks []Block) *BlockTable {
+	sorted := append([]Block(nil), blocks...)
+	sort.Slice(sorted, func(i, j int) bool {
+		if sorted[i].Prefix.Addr() != sorted[j].Prefix.Addr() {
+			return sorted[i].Prefix.Addr().Less(sorted[j].Prefix.Addr())
+		}
+		return sorted[i].Prefix.Bits() < sorted[j].Prefix.Bits()
+	})
+	t := &BlockTable{}
+	t.add(0, NoSite)
+	var open []Block
+	for _, block := range sorted {
+		open = t.closeBefore(open, block.Prefix.Addr())
+		open = append(open, block)
+		t.add(number(block.Prefix.Addr()), block.Site)
+	}
+	t.closeBefore(open, netip.Addr{})
+	return t
+}
+
+// closeBefore ends the open blocks that do not cover an address. The zero
+// address ends them all.
+func (t *BlockTable) closeBefore(open []Block, next netip.Addr) []Block {
+	for len(open) > 0 {
+		last := open[len(open)-1]
+		if next.IsValid() && last.Prefix.Contains(next) {
+			return open
+		}
+		open = open[:len(open)-1]
+		end := uint64(number(last.Prefix.Addr())) + 1<<(32-last.Prefix.Bits())
+		outer := NoSite
+		if len(open) > 0 {
+			outer = open[len(open)-1].Site
+		}
+		if end <= 1<<32-1 {
+			t.add(uint32(end), outer)
+		}
+	}
+	return open
+}
+
+// add starts a range. A range that starts where the last one did replaces it.
+func (t *BlockTable) add(start uint32, site uint16) {
+	last := len(t.starts) - 1
+	if last >= 0 && t.starts[last] == start {
+		t.sites[last] = site
+		return
+	}
+	t.starts = append(t.starts, start)
+	t.sites = append(t.sites, site)
+}
+
+// Find returns the site of an IPv4 address, or NoSite.
+func (t *BlockTable) Find(address netip.Addr) uint16 {
+	if !address.Is4() {
+		return NoSite
+	}
+	wanted := number(address)
+	low, high := 0, len(t.starts)
+	for high-low > 1 {
+		middle := int(uint(low+high) >> 1)
+		if t.starts[middle] <= wanted {
+			low = middle
+		} else {
+			high = middle
+		}
+	}
+	return t.sites[low]
+}
+
+// Bytes returns the memory that the table takes.
+func (t *BlockTable) Bytes() int {
+	return cap(t.starts)*4 + cap(t.sites)*2
+}
+
+func number(address netip.Addr) uint32 {
+	raw := address.As4()
+	return binary.BigEndian.Uint32(raw[:])
+}
+
+// region returns the region of a client under a state.
+func (c *blockCache) region(state *wire.State, client netip.Addr, fallback string) string {
+	current := c.current.Load()
+	if current == nil || current.state != state {
+		current = buildRegionBlocks(state)
+		c.current.Store(current)
+	}
+	site := current.table.Find(client.Unmap())
+	if site == NoSite {
+		return fallback
+	}
+	return current.regions[site]
+}
+
+func buildRegionBlocks(state *wire.State) *regionBlocks {
+	out := &regionBlocks{state: state}
+	sites := make(map[string]uint16)
+	var blocks []Block
+	for _, rule := range state.GetRules().GetBlocks() {
+		prefix, err := netip.ParsePrefix(rule.GetPrefix())
+		if err != nil || !prefix.Addr().Is4() {
+			continue
+		}
+		site, ok := sites[rule.GetRegion()]
+		if !ok {
+			site = uint16(len(out.regions))
+			sites[rule.GetRegion()] = site
+			out.regions = append(out.regions, rule.GetRegion())
+		}
+		blocks = append(blocks, Block{Prefix: prefix, Site: site})
+	}
+	out.table = NewBlockTable(blocks)
+	return out
+}
--- /dev/null
+++ b/caller/executor.go
@@ -0,0 +1,203 @@
+package caller
+
+import (
+	"context"
+
+	"github.com/bulrushferry/bulrushferry/backend"
+	"github.com/bulrushferry/bulrushferry/clock"
+	"github.com/bulrushferry/bulrushferry/once"
+	"github.com/bulrushferry/bulrushferry/peer"
+	"github.com/bulrushferry/bulrushferry/wire"
+	"github.com/hashicorp/go-hclog"
+	"github.com/joomcode/errorx"
+	"github.com/valyala/fasthttp"
+)
+
+type (
+	// ExecutorConfig configures an Executor.
+	ExecutorConfig struct {
+		Clock   clock.Clock
+		Fleet   *peer.Fleet
+		Loans   *peer.Loans
+		Network peer.Network
+		Pool    *backend.Pool
+		Actions *once.Table
+		Claimer *once.Claimer
+		Keys    *Keys
+		Log     hclog.Logger
+	}
+
+	// Executor runs checked requests, here or at a peer.
+	Executor struct {
+		config ExecutorConfig
+		shifts *shifter
+	}
+)
+
+var (
+	errorSpace = errorx.NewNamespace("caller")
+
+	errNoAuthority = errorSpace.NewType("no_authority")
+	errKeyGone     = errorSpace.NewType("key_withdrawn")
+)
+
+// NewExecutor returns an executor.
+func NewExecutor(config ExecutorConfig) *Executor {
+	return &Executor{config: config, shifts: newShifter()}
+}
+
+// Execute runs a job to its answer.
+func (e *Executor) Execute(ctx context.Context, job Job) Answer {
+	if job.Action != "" {
+		return e.executeOnce(ctx, job)
+	}
+	return e.admitAndPlace(ctx, job)
+}
+
+func (e *Executor) admitAndPlace(ctx context.Context, job Job) Answer {
+	if !e.config.Fleet.HasAuthority() {
+		return refuse(CodeNoAuthority, "this instance has no recent word from the platform or from more than half of the fleet")
+	}
+	if !job.Admitted && job.Workspace != "" && !e.config.Loans.Admit(ctx, job.Workspace) {
+		return refuse(CodeRate, "workspace "+job.Workspace+" is over its rate")
+	}
+	job = job.WithAdmitted()
+	if member, ok := e.spill(job).Get(); ok {
+		return e.pass(ctx, job.WithoutAction(), member.Seat.GetPeerAddress())
+	}
+	return e.runHere(ctx, job)
+}
+
+// runHere runs a job on a backend server that this instance holds units of.
+func (e *Executor) runHere(ctx context.Context, job Job) Answer {
+	response := fasthttp.AcquireResponse()
+	result := e.config.Pool.Run(ctx, &backend.Call{
+		ID:          job.ID,
+		Service:     job.Service,
+		Workspace:   job.Workspace,
+		Weight:      job.Weight,
+		Once:        job.Once,
+		Deadline:    job.Deadline,
+		Fingerprint: job.Fingerprint,
+		Request:     job.Request,
+		Response:    response,
+		Check:       func() error { return e.mayStillRun(job) },
+	})
+	if result.Outcome == wire.Outcome_OUTCOME_DONE {
+		return Answer{Outcome: wire.Outcome_OUTCOME_DONE, Response: response}
+	}
+	fasthttp.ReleaseResponse(response)
+	return fromResult(result)
+}
+
+// mayStillRun is asked again just before a request is sent, for it may have
+// waited and this process may have been stopped for a while.
+func (e *Executor) mayStillRun(job Job) error {
+	if !e.config.Fleet.HasAuthority() {
+		return errNoAuthority.New("authority was lost while the request waited")
+	}
+	if job.KeyHash == nil {
+		return nil
+	}
+	if _, ok := e.config.Keys.workspace(e.config.Fleet.State(), *job.KeyHash); !ok {
+		return errKeyGone.New("the key was withdrawn while the request waited")
+	}
+	return nil
+}
+
+// fromResult turns the backend layer's result into an answer.
+func fromResult(result backend.Result) Answer {
+	answer := Answer{Outcome: result.Outcome, Code: CodeBackend, Message: result.Err.Error()}
+	switch {
+	case errorx.IsOfType(result.Err, errNoAuthority):
+		answer.Code = CodeNoAuthority
+	case errorx.IsOfType(result.Err, errKeyGone):
+		answer.Code = CodeKey
+	case errorx.IsOfType(result.Err, backend.ErrNoCapacity):
+		answer.Code = CodeNoCapacity
+	case errorx.IsOfType(result.Err, backend.ErrQuarantined):
+		answer.Code = CodeQuarantined
+	}
+	return answer
+}
+
+// pass runs a job at a peer. When the peer cannot be reached nothing was run;
+// when its answer is lost the outcome is unknown.
+func (e *Executor) pass(ctx context.Context, job Job, address string) Answer {
+	if err := e.mayStillRun(job); err != nil {
+		return fromResult(backend.Result{Outcome: wire.Outcome_OUTCOME_NOT_RUN, Err: err})
+	}
+	now := e.config.Clock.Now()
+	ctx, cancel := context.WithTimeout(ctx, (job.Deadline - now).Duration())
+	defer cancel()
+	response, err := e.config.Network.Call(ctx, address, &wire.PeerRequest{
+		Body: &wire.PeerRequest_Forward{Forward: job.forward(now)},
+	})
+	if errorx.IsOfType(err, peer.ErrUnreachable) {
+		return refuse(CodeNoCapacity, "the peer that was to run the request cannot be reached")
+	}
+	if err != nil {
+		return unknown(CodeBackend, "the peer that was to run the request gave no answer")
+	}
+	return fromForward(job, response.GetForward())
+}
+
+func fromForward(job Job, forwarded *wire.ForwardAnswer) Answer {
+	if forwarded.GetRequestId() != job.ID {
+		return unknown(CodeBackend, "the peer answered another request")
+	}
+	answer := Answer{Outcome: forwarded.GetOutcome(), Code: Code(forwarded.GetReason())}
+	if len(forwarded.GetResponse()) == 0 {
+		answer.Message = "refused by the peer that was to run the request"
+		return answer
+	}
+	response, err := decodeResponse(forwarded.GetResponse())
+	if err != nil {
+		return unknown(CodeBackend, "the peer's answer cannot be read")
+	}
+	answer.Response = response
+	return answer
+}
+
+// RunForwarded implements peer.Runner.
+func (e *Executor) RunForwarded(ctx context.Context, forward *wire.Forward) *wire.ForwardAnswer {
+	request, err := decodeRequest(forward.GetRequest())
+	if err != nil {
+		return toForward(forward.GetRequestId(), refuse(CodeBadRequest, "the passed on request cannot be read"))
+	}
+	defer fasthttp.ReleaseRequest(request)
+	answer := e.Execute(ctx, Job{
+		ID:          forward.GetRequestId(),
+		Service:     forward.GetService(),
+		Workspace:   forward.GetWorkspace(),
+		Weight:      weightOf(e.config.Fleet.State(), forward.GetWorkspace()),
+		Once:        forward.GetOnce(),
+		Action:      forward.GetAction(),
+		Deadline:    e.config.Clock.Now() + clock.Millis(forward.GetDeadlineMs()),
+		Fingerprint: forward.GetFingerprint(),
+		Admitted:    forward.GetAdmitted(),
+		Final:       true,
+		Request:     request,
+	})
+	return toForward(forward.GetRequestId(), answer)
+}
+
+func toForward(id string, answer Answer) *wire.ForwardAnswer {
+	return &wire.ForwardAnswer{
+		RequestId: id,
+		Outcome:   answer.Outcome,
+		Status:    int32(answer.Status()),
+		Response:  encodeResponse(answer.Response),
+		Reason:    string(answer.Code),
+	}
+}
+
+// TakeOver implements peer.Runner.
+func (e *Executor) TakeOver(handover *wire.Handover) {
+	e.config.Actions.Inherit(e.config.Clock.Now(), handover.GetIncarnation(), handover.GetActions())
+}
+
+// Suspect implements peer.Runner.
+func (e *Executor) Suspect(suspect *wire.Suspect) {
+	e.config.Pool.Quarantine().Lost(suspect.GetFingerprint(), suspect.GetBackendServers()...)
+}
--- /dev/null
+++ b/command/cmd_keys_withdraw.go
@@ -0,0 +1,33 @@
+package command
+
+import (
+	"github.com/bulrushferry/bulrushferry/wire"
+	"github.com/jessevdk/go-flags"
+)
+
+var cmdKeysWithdraw = &Command{
+	Path:  []string{"keys", "withdraw"},
+	Short: "Withdraw a key; it stops working everywhere within seconds",
+	New:   func(env *Env) flags.Commander { return &keysWithdrawOptions{env: env} },
+}
+
+type keysWithdrawOptions struct {
+	env *Env
+	remote
+	Who  string `long:"who" env:"USER" default:"unknown" description:"who withdraws the key"`
+	Args struct {
+		ID string `positional-arg-name:"ID" required:"yes"`
+	} `positional-args:"yes"`
+}
+
+// Execute withdraws the key.
+func (o *keysWithdrawOptions) Execute([]string) error {
+	client, err := o.client()
+	if err != nil {
+		return err
+	}
+	return sendChange(o.env, client, &wire.ChangeRequest{
+		Who:    o.Who,
+		Change: &wire.ChangeRequest_WithdrawKeyId{WithdrawKeyId: o.Args.ID},
+	})
+}
--- /dev/null
+++ b/command/cmd_rules_diff.go
@@ -0,0 +1,37 @@
+package command
+
+import (
+	"github.com/jessevdk/go-flags"
+	"github.com/rogpeppe/go-internal/diff"
+)
+
+var cmdRulesDiff = &Command{
+	Path:  []string{"rules", "diff"},
+	Short: "Show how a rules file differs from the rules in force",
+	New:   func(env *Env) flags.Commander { return &rulesDiffOptions{env: env} },
+}
+
+type rulesDiffOptions struct {
+	env *Env
+	remote
+	fileArgument
+}
+
+// Execute prints a unified diff; it prints nothing when nothing differs.
+func (o *rulesDiffOptions) Execute([]string) error {
+	text, _, err := readRules(o.env, o.Args.File)
+	if err != nil {
+		return err
+	}
+	client, err := o.client()
+	if err != nil {
+		return err
+	}
+	state, err := client.State()
+	if err != nil {
+		return errFailed.Wrap(err, "reading the rules in force")
+	}
+	out := diff.Diff("in force", []byte(state.GetRulesText()), o.Args.File, []byte(text))
+	_, _ = o.env.Stdout.Write(out)
+	return nil
+}
--- /dev/null
+++ b/main.go
@@ -0,0 +1,16 @@
+// Command bulrushferry steers traffic between callers and backend servers.
+package main
+
+import (
+	"os"
+
+	"github.com/bulrushferry/bulrushferry/command"
+)
+
+// version is set by the linker.
+var version = "development"
+
+func main() {
+	env := &command.Env{Stdout: os.Stdout, Stderr: os.Stderr, Version: version}
+	os.Exit(command.Main(env, os.Args[1:]))
+}
--- /dev/null
+++ b/once/table.go
@@ -0,0 +1,255 @@
+package once
+
+import (
+	"bytes"
+	"sync"
+
+	"github.com/bulrushferry/bulrushferry/clock"
+	"github.com/bulrushferry/bulrushferry/values"
+	"github.com/bulrushferry/bulrushferry/wire"
+)
+
+type (
+	// Decision says what to do with a request that may run once.
+	Decision int
+
+	// Request identifies an attempt to run an action.
+	Request struct {
+		Action    string
+		Workspace string
+		// Fingerprint is a hash of the request's route and body.
+		Fingerprint []byte
+	}
+
+	// Ticket is the table's answer to an attempt.
+	Ticket struct {
+		Decision Decision
+		// Done is closed when the running attempt has ended.
+		Done <-chan struct{}
+		// Answer is the remembered answer of a finished action.
+		Answer *wire.FinishedAction
+	}
+
+	// TableConfig configures a Table.
+	TableConfig struct {
+		Incarnation string
+		// MaxActions bounds the actions that are remembered.
+		MaxActions int
+		// MaxResponseBytes bounds a remembered answer. A longer one is
+		// forgotten, and a resend is told that the outcome is unknown.
+		MaxResponseBytes int
+	}
+
+	// Table remembers the actions of one incarnation. It is safe for
+	// concurrent use.
+	Table struct {
+		config TableConfig
+
+		mu        sync.Mutex
+		actions   map[string]*entry
+		inherited map[string]struct{}
+	}
+
+	entry struct {
+		request  Request
+		epoch    int64
+		done     chan struct{}
+		finished *wire.FinishedAction
+		// inherited entries belong to a stopped incarnation and never run here.
+		inherited bool
+	}
+)
+
+const (
+	// Run means that the caller holds the only right to run the action.
+	Run Decision = iota
+	// Wait means that the action is running already.
+	Wait
+	// Replay means that the action has ended and its answer is at hand.
+	Replay
+	// Conflict means that the name was used for another request.
+	Conflict
+	// Expired means that the name's epoch is over, so the action may have run.
+	Expired
+	// Foreign means that another incarnation runs the action.
+	Foreign
+	// NeverRun means that the issuing incarnation stopped without running the
+	// action and handed over the list of those it ran.
+	NeverRun
+	// Full means that the table has no room for another action.
+	Full
+)
+
+// NewTable returns an empty table.
+func NewTable(config TableConfig) *Table {
+	return &Table{
+		config:    config,
+		actions:   make(map[string]*entry),
+		inherited: make(map[string]struct{}),
+	}
+}
+
+// Begin decides on an attempt. After Run the caller must call End exactly once.
+func (t *Table) Begin(now clock.Millis, request Request) Ticket {
+	name, ok := ParseName(request.Action).Get()
+	if !ok {
+		return Ticket{Decision: Foreign}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if known, ok := t.actions[key(request)]; ok {
+		return known.ticket(request)
+	}
+	if _, ok := t.inherited[name.Incarnation]; ok {
+		return Ticket{Decision: NeverRun}
+	}
+	if name.Incarnation != t.config.Incarnation {
+		return Ticket{Decision: Foreign}
+	}
+	return t.begin(now, request, name.Epoch)
+}
+
+// BeginClaimed starts an action whose caller chose its name, after this
+// incarnation has claimed the name in the table service.
+func (t *Table) BeginClaimed(now clock.Millis, request Request) Ticket {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if known, ok := t.actions[key(request)]; ok {
+		return known.ticket(request)
+	}
+	return t.begin(now, request, EpochAt(now))
+}
+
+// Known reports whether an attempt of the action may have run, and returns its
+// ticket if so. It never starts the action.
+func (t *Table) Known(request Request) values.Option[Ticket] {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known, ok := t.actions[key(request)]
+	if !ok || known.finished.GetOutcome() == wire.Outcome_OUTCOME_NOT_RUN {
+		return values.None[Ticket]()
+	}
+	return values.Some(known.ticket(request))
+}
+
+// End records an action's answer and wakes those who wait for it. An action
+// that ended as not run may be begun again.
+func (t *Table) End(request Request, answer *wire.FinishedAction) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	running, ok := t.actions[key(request)]
+	if !ok {
+		return
+	}
+	running.finished = t.trim(answer)
+	close(running.done)
+}
+
+// Finished lists the remembered actions for a hand-over.
+func (t *Table) Finished() []*wire.FinishedAction {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]*wire.FinishedAction, 0, len(t.actions))
+	for _, known := range t.actions {
+		out = append(out, known.record())
+	}
+	return out
+}
+
+// Inherit takes in the complete list of the actions that a stopped incarnation
+// ran. An action under its prefix that is not listed was never run.
+func (t *Table) Inherit(now clock.Millis, incarnation string, actions []*wire.FinishedAction) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.inherited[incarnation] = struct{}{}
+	for _, action := range actions {
+		request := Request{
+			Action:      action.GetAction(),
+			Workspace:   action.GetWorkspace(),
+			Fingerprint: action.GetFingerprint(),
+		}
+		done := make(chan struct{})
+		close(done)
+		t.actions[key(request)] = &entry{
+			request:   request,
+			epoch:     EpochAt(now),
+			done:      done,
+			finished:  action,
+			inherited: true,
+		}
+	}
+}
+
+// Prune forgets the actions whose epochs are over.
+func (t *Table) Prune(now clock.Millis) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for k, known := range t.actions {
+		if known.finished != nil && known.epoch+epochsKept <= EpochAt(now) {
+			delete(t.actions, k)
+		}
+	}
+}
+
+// Len returns the number of remembered actions.
+func (t *Table) Len() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.actions)
+}
+
+func (t *Table) begin(now clock.Millis, request Request, epoch int64) Ticket {
+	if epoch > EpochAt(now) || epoch+epochsKept <= EpochAt(now) {
+		return Ticket{Decision: Expired}
+	}
+	if len(t.actions) >= t.config.MaxActions {
+		return Ticket{Decision: Full}
+	}
+	started := &entry{request: request, epoch: epoch, done: make(chan struct{})}
+	t.actions[key(request)] = started
+	return Ticket{Decision: Run, Done: started.done}
+}
+
+func (t *Table) trim(answer *wire.FinishedAction) *wire.FinishedAction {
+	if len(answer.GetResponse()) <= t.config.MaxResponseBytes {
+		return answer
+	}
+	return &wire.FinishedAction{
+		Action:      answer.GetAction(),
+		Workspace:   answer.GetWorkspace(),
+		Fingerprint: answer.GetFingerprint(),
+		Outcome:     wire.Outcome_OUTCOME_UNKNOWN,
+	}
+}
+
+func (e *entry) ticket(request Request) Ticket {
+	if !bytes.Equal(e.request.Fingerprint, request.Fingerprint) {
+		return Ticket{Decision: Conflict}
+	}
+	if e.finished == nil {
+		return Ticket{Decision: Wait, Done: e.done}
+	}
+	if e.finished.GetOutcome() == wire.Outcome_OUTCOME_NOT_RUN && !e.inherited {
+		e.finished = nil
+		e.done = make(chan struct{})
+		return Ticket{Decision: Run, Done: e.done}
+	}
+	return Ticket{Decision: Replay, Done: e.done, Answer: e.finished}
+}
+
+// record describes an entry for a hand-over; one still running is unknown.
+func (e *entry) record() *wire.FinishedAction {
+	if e.finished != nil {
+		return e.finished
+	}
+	return &wire.FinishedAction{
+		Action:      e.request.Action,
+		Workspace:   e.request.Workspace,
+		Fingerprint: e.request.Fingerprint,
+		Outcome:     wire.Outcome_OUTCOME_UNKNOWN,
+	}
+}
+
+func key(request Request) string {
+	return request.Workspace + "\x00" + request.Action
+}
--- /dev/null
+++ b/peer/broadcast.go
@@ -0,0 +1,25 @@
+package peer
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+
+	"github.com/bulrushferry/bulrushferry/wire"
+)
+
+// Broadcast sends a request to every member at once and waits for the answers
+// until the context ends. It returns how many members answered.
+func Broadcast(ctx context.Context, network Network, members []Member, request *wire.PeerRequest) int {
+	var answered atomic.Int64
+	var group sync.WaitGroup
+	for _, member := range members {
+		group.Go(func() {
+			if _, err := network.Call(ctx, member.Seat.GetPeerAddress(), request); err == nil {
+				answered.Add(1)
+			}
+		})
+	}
+	group.Wait()
+	return int(answered.Load())
+}
--- /dev/null
+++ b/peer/change.go
@@ -0,0 +1,265 @@
+package peer
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/bulrushferry/bulrushferry/authority"
+	"github.com/bulrushferry/bulrushferry/clock"
+	"github.com/bulrushferry/bulrushferry/platform"
+	"github.com/bulrushferry/bulrushferry/values"
+	"github.com/bulrushferry/bulrushferry/wire"
+	"github.com/joomcode/errorx"
+	"google.golang.org/protobuf/proto"
+)
+
+type (
+	// commitRequest is one change of the fleet's state.
+	commitRequest struct {
+		id   string
+		kind string
+		who  string
+		// build changes a copy of the state; its revision is set already.
+		build func(state *wire.State) error
+		// history is set when the change belongs in the rules' history.
+		history bool
+	}
+)
+
+const (
+	stateKey       = "state"
+	historyPrefix  = "history/"
+	changesKept    = 64
+	changeIDBytes  = 12
+	commitAttempts = 8
+	confirmTimeout = 3 * clock.Second
+	// confirmCheckInterval is the time between checks of a pending confirmation.
+	confirmCheckInterval = 5 * clock.Millis(1)
+	historyKeyPattern    = historyPrefix + "%012d"
+)
+
+var (
+	errSuperseded = errorSpace.NewType("superseded")
+	errBadChange  = errorSpace.NewType("bad_change")
+)
+
+// commit carries a change through three steps: the present revision is
+// confirmed by more than half of the prior slots, the change is written on
+// condition that this is still the latest revision, and the new revision is
+// pushed until more than half of the slots before it know it. Only then is it
+// accepted. A lost answer of the table service is resolved by reading back.
+func (f *Fleet) commit(ctx context.Context, request commitRequest) *wire.ChangeResult {
+	for range commitAttempts {
+		state, err := f.readStore(ctx)
+		if err != nil {
+			return &wire.ChangeResult{Error: "the table service cannot be read, nothing was changed: " + err.Error()}
+		}
+		if revision, ok := findChange(state, request.id).Get(); ok {
+			return f.confirmChange(ctx, revision)
+		}
+		if !f.confirmState(ctx, state.GetRevision()) {
+			return f.unconfirmed(&wire.ChangeResult{Error: "the present revision is not confirmed by more than half of the fleet's slots, nothing was changed"})
+		}
+		next, err := nextState(state, request)
+		if err != nil {
+			return &wire.ChangeResult{Error: err.Error(), Revision: state.GetRevision()}
+		}
+		committed, err := f.config.Table.Commit(ctx, transaction(state, next, request))
+		if err == nil && committed {
+			f.advance(next)
+			return f.confirmChange(ctx, next.GetRevision())
+		}
+		if errorx.IsOfType(err, platform.ErrUnavailable) {
+			return &wire.ChangeResult{Error: "the table service cannot be reached, nothing was changed"}
+		}
+	}
+	return &wire.ChangeResult{Error: "the change could not be stored: too many changes at once, or answers of the table service were lost"}
+}
+
+// readStore takes in the table service's state and returns it.
+func (f *Fleet) readStore(ctx context.Context) (*wire.State, error) {
+	sentAt := f.config.Clock.Now()
+	row, err := platform.ReadRow(ctx, f.config.Table, stateKey)
+	if err != nil {
+		return nil, err
+	}
+	state := &wire.State{}
+	if err := proto.Unmarshal(row.GetValue(), state); err != nil {
+		return nil, errBadChange.Wrap(err, "decoding the stored state")
+	}
+	f.mu.Lock()
+	advanced := f.view.OnStoreRead(sentAt, f.config.Clock.Now(), state)
+	f.noteState(advanced)
+	f.mu.Unlock()
+	f.notify(advanced)
+	return state, nil
+}
+
+func (f *Fleet) confirmChange(ctx context.Context, revision int64) *wire.ChangeResult {
+	result := &wire.ChangeResult{Stored: true, Revision: revision}
+	if f.confirmState(ctx, revision) {
+		result.Accepted = true
+		return result
+	}
+	result.Error = "the change is stored, but more than half of the fleet's slots have not confirmed it yet"
+	return f.unconfirmed(result)
+}
+
+func (f *Fleet) unconfirmed(result *wire.ChangeResult) *wire.ChangeResult {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	result.Unreached = f.view.Unconfirmed()
+	return result
+}
+
+// confirmState pushes the state in force until the holders of more than half
+// of the prior slots are known to have a revision. A higher confirmed revision
+// confirms it too, for nothing is written on an unconfirmed one.
+func (f *Fleet) confirmState(ctx context.Context, revision int64) bool {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout.Duration())
+	defer cancel()
+	for {
+		if f.isConfirmed(revision) {
+			return true
+		}
+		f.pushAll(ctx)
+		select {
+		case <-ctx.Done():
+			return f.isConfirmed(revision)
+		case <-time.After(confirmCheckInterval.Duration()):
+		}
+	}
+}
+
+func (f *Fleet) isConfirmed(revision int64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.view.State().GetRevision() > revision {
+		return true
+	}
+	_, ok := f.view.ConfirmedAt()
+	return ok && f.view.State().GetRevision() == revision
+}
+
+// pushAll sends the state in force to every peer. It returns once the state is
+// confirmed, every push has ended or the context has.
+func (f *Fleet) pushAll(ctx context.Context) {
+	f.mu.Lock()
+	addresses := f.addresses()
+	state := f.view.State()
+	f.mu.Unlock()
+	var group sync.WaitGroup
+	for _, address := range addresses {
+		if address != f.config.Self.GetPeerAddress() {
+			group.Go(func() { f.push(address, state) })
+		}
+	}
+	done := make(chan struct{})
+	go func() {
+		group.Wait()
+		close(done)
+	}()
+	for !f.isConfirmed(state.GetRevision()) {
+		select {
+		case <-done:
+			return
+		case <-ctx.Done():
+			return
+		case <-time.After(confirmCheckInterval.Duration()):
+		}
+	}
+}
+
+// push sends a state to one peer. It outlasts the change that caused it, so
+// that slow peers get the news too.
+func (f *Fleet) push(address string, state *wire.State) {
+	ctx, cancel := context.WithTimeout(context.Background(), f.config.Timing.AuthorityTerm.Duration())
+	defer cancel()
+	sentAt := f.config.Clock.Now()
+	response, err := f.config.Network.Call(ctx, address, &wire.PeerRequest{
+		Body: &wire.PeerRequest_Push{Push: state},
+	})
+	if err != nil {
+		f.config.Log.Debug("pushing the state", "address", address, "error", err)
+		return
+	}
+	f.takePushAnswer(sentAt, address, response.GetPush())
+}
+
+func (f *Fleet) takePushAnswer(sentAt clock.Millis, address string, answer *wire.PushAnswer) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.view.OnAnswer(sentAt, f.config.Clock.Now(), authority.Answer{
+		Incarnation: answer.GetIncarnation(),
+		PeerAddress: address,
+		Revision:    answer.GetRevision(),
+	})
+}
+
+// handlePush takes in a state that a peer has sent.
+func (f *Fleet) handlePush(state *wire.State) *wire.PushAnswer {
+	f.advance(state)
+	return &wire.PushAnswer{
+		Incarnation: f.config.Self.GetIncarnation(),
+		Revision:    f.State().GetRevision(),
+	}
+}
+
+// nextState builds the state that follows another one.
+func nextState(state *wire.State, request commitRequest) (*wire.State, error) {
+	next := proto.CloneOf(state)
+	next.Revision = state.GetRevision() + 1
+	next.PriorSeats = state.GetSeats()
+	if err := request.build(next); err != nil {
+		return nil, err
+	}
+	next.Changes = append(next.Changes, &wire.Change{
+		Id:       request.id,
+		Revision: next.GetRevision(),
+		Kind:     request.kind,
+		Who:      request.who,
+	})
+	if extra := len(next.GetChanges()) - changesKept; extra > 0 {
+		next.Changes = next.GetChanges()[extra:]
+	}
+	return next, nil
+}
+
+// transaction writes a state on condition that the one before it is the
+// latest. The state's row is written once a revision, so its version equals
+// the revision.
+func transaction(state, next *wire.State, request commitRequest) *wire.Transaction {
+	value, _ := proto.Marshal(next)
+	tx := &wire.Transaction{
+		Conditions: []*wire.Condition{{Key: stateKey, Version: state.GetRevision()}},
+		Writes:     []*wire.Row{{Key: stateKey, Value: value}},
+	}
+	if request.history {
+		entry, _ := proto.Marshal(&wire.HistoryEntry{
+			Change:    next.GetChanges()[len(next.GetChanges())-1],
+			RulesText: next.GetRulesText(),
+		})
+		key := fmt.Sprintf(historyKeyPattern, next.GetRevision())
+		tx.Writes = append(tx.Writes, &wire.Row{Key: key, Value: entry})
+	}
+	return tx
+}
+
+func findChange(state *wire.State, id string) values.Option[int64] {
+	for _, change := range state.GetChanges() {
+		if change.GetId() == id {
+			return values.Some(change.GetRevision())
+		}
+	}
+	return values.None[int64]()
+}
+
+func newChangeID() string {
+	raw := make([]byte, changeIDBytes)
+	_, _ = rand.Read(raw)
+	return hex.EncodeToString(raw)
+}
--- /dev/null
+++ b/peer/operate.go
@@ -0,0 +1,117 @@
+package peer
+
+import (
+	"context"
+
+	"github.com/bulrushferry/bulrushferry/platform"
+	"github.com/bulrushferry/bulrushferry/rules"
+	"github.com/bulrushferry/bulrushferry/wire"
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	changeKindRules    = "rules"
+	changeKindIssue    = "key_issued"
+	changeKindWithdraw = "key_withdrawn"
+)
+
+// Change carries out an operator's change of the fleet's state. Sending the
+// same change again, with the same id, has no further effect.
+func (f *Fleet) Change(ctx context.Context, request *wire.ChangeRequest) *wire.ChangeResult {
+	if request.GetId() == "" {
+		return &wire.ChangeResult{Error: "the change has no id"}
+	}
+	switch change := request.GetChange().(type) {
+	case *wire.ChangeRequest_RulesText:
+		return f.applyRules(ctx, request, change.RulesText)
+	case *wire.ChangeRequest_IssueKey:
+		return f.issueKey(ctx, request, change.IssueKey)
+	case *wire.ChangeRequest_WithdrawKeyId:
+		return f.withdrawKey(ctx, request, change.WithdrawKeyId)
+	default:
+		return &wire.ChangeResult{Error: "the change is of no known kind"}
+	}
+}
+
+func (f *Fleet) applyRules(ctx context.Context, request *wire.ChangeRequest, text string) *wire.ChangeResult {
+	parsed, faults := rules.Parse([]byte(text))
+	if len(faults) > 0 {
+		return &wire.ChangeResult{Faults: faults, Error: "the rules file has faults, nothing was changed"}
+	}
+	return f.commit(ctx, commitRequest{
+		id:      request.GetId(),
+		kind:    changeKindRules,
+		who:     request.GetWho(),
+		history: true,
+		build: func(state *wire.State) error {
+			if state.GetRulesRevision() != request.GetExpectedRulesRevision() {
+				return errSuperseded.New("the rules are at revision %d, the change was made on revision %d: nothing was changed",
+					state.GetRulesRevision(), request.GetExpectedRulesRevision())
+			}
+			state.RulesRevision = state.GetRevision()
+			state.RulesText = text
+			state.Rules = parsed
+			return nil
+		},
+	})
+}
+
+func (f *Fleet) issueKey(ctx context.Context, request *wire.ChangeRequest, key *wire.Key) *wire.ChangeResult {
+	return f.commit(ctx, commitRequest{
+		id:   request.GetId(),
+		kind: changeKindIssue,
+		who:  request.GetWho(),
+		build: func(state *wire.State) error {
+			if rules.Workspace(state.GetRules(), key.GetWorkspace()) == nil {
+				return errBadChange.New("there is no workspace %q", key.GetWorkspace())
+			}
+			if findKey(state, key.GetId()) != nil {
+				return errBadChange.New("there is a key %q already", key.GetId())
+			}
+			state.Keys = append(state.Keys, proto.CloneOf(key))
+			return nil
+		},
+	})
+}
+
+func (f *Fleet) withdrawKey(ctx context.Context, request *wire.ChangeRequest, id string) *wire.ChangeResult {
+	return f.commit(ctx, commitRequest{
+		id:   request.GetId(),
+		kind: changeKindWithdraw,
+		who:  request.GetWho(),
+		build: func(state *wire.State) error {
+			key := findKey(state, id)
+			if key == nil {
+				return errBadChange.New("there is no key %q", id)
+			}
+			key.Withdrawn = true
+			return nil
+		},
+	})
+}
+
+func findKey(state *wire.State, id string) *wire.Key {
+	for _, key := range state.GetKeys() {
+		if key.GetId() == id {
+			return key
+		}
+	}
+	return nil
+}
+
+// History returns the accepted rules files, oldest first.
+func (f *Fleet) History(ctx context.Context) ([]*wire.HistoryEntry, error) {
+	rows, err := f.config.Table.Read(ctx, historyPrefix)
+	if err != nil {
+		return nil, platform.ErrUnavailable.Wrap(err, "reading the rules' history")
+	}
+	var entries []*wire.HistoryEntry
+	for _, row := range rows {
+		entry := &wire.HistoryEntry{}
+		if err := proto.Unmarshal(row.GetValue(), entry); err != nil {
+			return nil, errBadChange.Wrap(err, "decoding %s", row.GetKey())
+		}
+		entries = append(entries, entry)
+	}
+	return entries, nil
+}
--- /dev/null
+++ b/peer/transport.go
@@ -0,0 +1,239 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/bulrushferry/bulrushferry/wire"
+	"github.com/hashicorp/go-hclog"
+	"github.com/quic-go/quic-go"
+	"google.golang.org/protobuf/proto"
+)
+
+type (
+	// Network carries requests to peers.
+	Network interface {
+		// Call sends a request to a peer's address and returns its answer.
+		Call(ctx context.Context, address string, request *wire.PeerRequest) (*wire.PeerResponse, error)
+	}
+
+	// Handler answers a peer's request.
+	Handler func(ctx context.Context, request *wire.PeerRequest) *wire.PeerResponse
+
+	// TransportConfig configures a Transport.
+	TransportConfig struct {
+		// Address is the IP:port to serve and to dial from.
+		Address string
+		TLS     *tls.Config
+		Log     hclog.Logger
+	}
+
+	// Transport is a Network over QUIC with mutual TLS. It uses one stream a
+	// request and one connection a peer.
+	Transport struct {
+		config   TransportConfig
+		quic     *quic.Transport
+		listener *quic.Listener
+
+		mu    sync.Mutex
+		conns map[string]*quic.Conn
+	}
+)
+
+const (
+	maxMessageBytes    = 16 << 20
+	handshakeTimeout   = time.Second
+	idleTimeout        = 10 * time.Second
+	keepAlivePeriod    = 2 * time.Second
+	maxIncomingStreams = 10_000
+
+	closeReplaced quic.ApplicationErrorCode = 1
+	closeStopping quic.ApplicationErrorCode = 2
+	closeForeign  quic.ApplicationErrorCode = 3
+)
+
+// NewTransport opens the peer address.
+func NewTransport(config TransportConfig) (*Transport, error) {
+	address, err := net.ResolveUDPAddr("udp", config.Address)
+	if err != nil {
+		return nil, ErrListen.Wrap(err, "reading peer address %s", config.Address)
+	}
+	conn, err := net.ListenUDP("udp", address)
+	if err != nil {
+		return nil, ErrListen.Wrap(err, "opening peer address %s", config.Address)
+	}
+	t := &Transport{
+		config: config,
+		quic:   &quic.Transport{Conn: conn},
+		conns:  make(map[string]*quic.Conn),
+	}
+	t.listener, err = t.quic.Listen(config.TLS, quicConfig())
+	if err != nil {
+		return nil, ErrListen.Wrap(err, "listening on peer address %s", config.Address)
+	}
+	return t, nil
+}
+
+func quicConfig() *quic.Config {
+	return &quic.Config{
+		HandshakeIdleTimeout: handshakeTimeout,
+		MaxIdleTimeout:       idleTimeout,
+		KeepAlivePeriod:      keepAlivePeriod,
+		MaxIncomingStreams:   maxIncomingStreams,
+	}
+}
+
+// Serve answers peers until the context ends.
+func (t *Transport) Serve(ctx context.Context, handle Handler) {
+	for {
+		conn, err := t.listener.Accept(ctx)
+		if err != nil {
+			return
+		}
+		if err := checkAddress(conn.ConnectionState().TLS, conn.RemoteAddr()); err != nil {
+			t.config.Log.Warn("refused a peer", "error", err)
+			_ = conn.CloseWithError(closeForeign, "certificate does not name this address")
+			continue
+		}
+		go t.serveConn(ctx, conn, handle)
+	}
+}
+
+func (t *Transport) serveConn(ctx context.Context, conn *quic.Conn, handle Handler) {
+	for {
+		stream, err := conn.AcceptStream(ctx)
+		if err != nil {
+			return
+		}
+		go t.serveStream(ctx, stream, handle)
+	}
+}
+
+func (t *Transport) serveStream(ctx context.Context, stream *quic.Stream, handle Handler) {
+	defer func() { _ = stream.Close() }()
+	request := &wire.PeerRequest{}
+	if err := readMessage(stream, request); err != nil {
+		stream.CancelRead(0)
+		t.config.Log.Debug("unreadable peer request", "error", err)
+		return
+	}
+	response := handle(ctx, request)
+	payload, err := proto.Marshal(response)
+	if err != nil {
+		t.config.Log.Error("encoding a peer response", "error", err)
+		return
+	}
+	_, _ = stream.Write(payload)
+}
+
+// Call implements Network. A call that gets no answer retires its connection,
+// because the peer may have been replaced or the path may have lost it.
+func (t *Transport) Call(ctx context.Context, address string, request *wire.PeerRequest) (*wire.PeerResponse, error) {
+	payload, err := proto.Marshal(request)
+	if err != nil {
+		return nil, ErrUnreachable.Wrap(err, "encoding a request to peer %s", address)
+	}
+	conn, err := t.connection(ctx, address)
+	if err != nil {
+		return nil, ErrUnreachable.Wrap(err, "connecting to peer %s", address)
+	}
+	stream, err := conn.OpenStreamSync(ctx)
+	if err != nil {
+		t.retire(address, conn)
+		return nil, ErrUnreachable.Wrap(err, "opening a stream to peer %s", address)
+	}
+	response, err := exchange(ctx, stream, payload)
+	if err != nil {
+		t.retire(address, conn)
+		return nil, ErrNoAnswer.Wrap(err, "calling peer %s", address)
+	}
+	if response.GetError() != "" {
+		return nil, ErrRefused.New("peer %s: %s", address, response.GetError())
+	}
+	return response, nil
+}
+
+func exchange(ctx context.Context, stream *quic.Stream, payload []byte) (*wire.PeerResponse, error) {
+	defer stream.CancelRead(0)
+	if deadline, ok := ctx.Deadline(); ok {
+		_ = stream.SetDeadline(deadline)
+	}
+	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Now()) })
+	defer stop()
+	if _, err := stream.Write(payload); err != nil {
+		return nil, err
+	}
+	if err := stream.Close(); err != nil {
+		return nil, err
+	}
+	response := &wire.PeerResponse{}
+	return response, readMessage(stream, response)
+}
+
+func readMessage(stream *quic.Stream, into proto.Message) error {
+	payload, err := io.ReadAll(io.LimitReader(stream, maxMessageBytes))
+	if err != nil {
+		return err
+	}
+	if len(payload) == 0 {
+		return io.ErrUnexpectedEOF
+	}
+	return proto.Unmarshal(payload, into)
+}
+
+func (t *Transport) connection(ctx context.Context, address string) (*quic.Conn, error) {
+	t.mu.Lock()
+	conn := t.conns[address]
+	t.mu.Unlock()
+	if conn != nil && conn.Context().Err() == nil {
+		return conn, nil
+	}
+	udp, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return nil, err
+	}
+	config := t.config.TLS.Clone()
+	config.ServerName = udp.IP.String()
+	dialled, err := t.quic.Dial(ctx, udp, config, quicConfig())
+	if err != nil {
+		return nil, err
+	}
+	return t.keep(address, dialled), nil
+}
+
+// keep stores a new connection, or prefers one that was stored meanwhile.
+func (t *Transport) keep(address string, dialled *quic.Conn) *quic.Conn {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if conn := t.conns[address]; conn != nil && conn.Context().Err() == nil {
+		_ = dialled.CloseWithError(closeReplaced, "another connection is in use")
+		return conn
+	}
+	t.conns[address] = dialled
+	return dialled
+}
+
+func (t *Transport) retire(address string, conn *quic.Conn) {
+	t.mu.Lock()
+	if t.conns[address] == conn {
+		delete(t.conns, address)
+	}
+	t.mu.Unlock()
+	_ = conn.CloseWithError(closeReplaced, "no answer")
+}
+
+// Close ends all connections.
+func (t *Transport) Close() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, conn := range t.conns {
+		_ = conn.CloseWithError(closeStopping, "stopping")
+	}
+	_ = t.listener.Close()
+	_ = t.quic.Close()
+	_ = t.quic.Conn.Close()
+}
--- /dev/null
+++ b/share/part.go
@@ -0,0 +1,38 @@
+// Package share splits a workspace's fleet-wide rate and burst over instances
+// and lends parts of it between them. Every instance spends only its own part,
+// so the fleet's bound holds without synchronised clocks and whatever messages
+// are lost.
+package share
+
+// Part is a part of a workspace's rate and burst.
+type Part struct {
+	// Rate is in requests per second.
+	Rate float64
+	// Burst is the capacity of the token bucket, in requests.
+	Burst float64
+}
+
+// WithAdded returns the sum of two parts.
+func (p Part) WithAdded(other Part) Part {
+	return Part{Rate: p.Rate + other.Rate, Burst: p.Burst + other.Burst}
+}
+
+// WithRemoved returns the part less another one.
+func (p Part) WithRemoved(other Part) Part {
+	return Part{Rate: p.Rate - other.Rate, Burst: p.Burst - other.Burst}
+}
+
+// WithScale returns the part times a factor.
+func (p Part) WithScale(factor float64) Part {
+	return Part{Rate: p.Rate * factor, Burst: p.Burst * factor}
+}
+
+// WithFloor returns the part with negative amounts set to zero.
+func (p Part) WithFloor() Part {
+	return Part{Rate: max(p.Rate, 0), Burst: max(p.Burst, 0)}
+}
+
+// IsZero reports whether the part lends nothing.
+func (p Part) IsZero() bool {
+	return p.Rate == 0 && p.Burst == 0
+}
--- /dev/null
+++ b/values/set.go
@@ -0,0 +1,44 @@
+// Package values holds small generic value types.
+package values
+
+import "sort"
+
+// Set is an immutable set of strings or numbers.
+type Set[T ~string | ~int | ~int32 | ~int64] struct {
+	members map[T]struct{}
+}
+
+// NewSet returns a set of the given members.
+func NewSet[T ~string | ~int | ~int32 | ~int64](members ...T) Set[T] {
+	s := Set[T]{members: make(map[T]struct{}, len(members))}
+	for _, m := range members {
+		s.members[m] = struct{}{}
+	}
+	return s
+}
+
+// Has reports whether the set holds a member.
+func (s Set[T]) Has(member T) bool {
+	_, ok := s.members[member]
+	return ok
+}
+
+// Len returns the number of members.
+func (s Set[T]) Len() int {
+	return len(s.members)
+}
+
+// With returns a copy that also holds the given members.
+func (s Set[T]) With(members ...T) Set[T] {
+	return NewSet(append(s.Sorted(), members...)...)
+}
+
+// Sorted returns the members in ascending order.
+func (s Set[T]) Sorted() []T {
+	out := make([]T, 0, len(s.members))
+	for m := range s.members {
+		out = append(out, m)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
+	return out
+}
