--- a/authority/allowance.go
+++ b/authority/allowance.go
@@ -1,6 +1,8 @@
 package authority
 
 import (
+	"slices"
+
 	"github.com/bulrushferry/bulrushferry/clock"
 	"github.com/bulrushferry/bulrushferry/values"
 	"github.com/bulrushferry/bulrushferry/wire"
@@ -22,11 +24,38 @@
 	}
 )
 
-// OnState records that a state came into force.
+// OnState records that a state came into force. Where seats have changed more
+// than once since the last state, this instance may have lost a part in between
+// and got it back, so it holds nothing until that has been settled.
 func (h *History) OnState(state *wire.State) {
+	if len(h.past) > 0 {
+		last := h.past[len(h.past)-1].state
+		if state.GetEarlierSeatsRevision() > last.GetRevision() {
+			h.past = append(h.past, pastState{state: &wire.State{Revision: last.GetRevision()}})
+		}
+	}
 	h.past = append(h.past, pastState{state: state})
 }
 
+// FollowSeats notes in a state whether its seats differ from those of the state
+// before it.
+func FollowSeats(next, before *wire.State) {
+	next.PriorSeats = before.GetSeats()
+	next.SeatsRevision = before.GetSeatsRevision()
+	next.EarlierSeatsRevision = before.GetEarlierSeatsRevision()
+	if sameSeats(next.GetSeats(), before.GetSeats()) {
+		return
+	}
+	next.EarlierSeatsRevision = before.GetSeatsRevision()
+	next.SeatsRevision = next.GetRevision()
+}
+
+func sameSeats(a, b []*wire.Seat) bool {
+	return slices.EqualFunc(a, b, func(x, y *wire.Seat) bool {
+		return x.GetIncarnation() == y.GetIncarnation()
+	})
+}
+
 // OnConfirmed sets the time after which the states before the given revision
 // no longer bind: no instance has authority on them any more and every request
 // and loan that began under them has ended.
--- a/authority/view.go
+++ b/authority/view.go
@@ -77,14 +77,18 @@
 // It reports whether a higher revision came into force.
 func (v *View) OnAnswer(sentAt, now clock.Millis, answer Answer) bool {
 	v.markReplaced(sentAt, answer)
-	last, ok := v.heard[answer.Incarnation]
-	if !ok || sentAt >= last.sentAt {
-		v.heard[answer.Incarnation] = heardPeer{
-			sentAt:   sentAt,
-			revision: max(last.revision, answer.Revision),
-		}
-	}
 	advanced := v.Advance(now, answer.State)
+	last, known := v.heard[answer.Incarnation]
+	last.revision = max(last.revision, answer.Revision)
+	// A peer that knows more than this instance gives it no authority.
+	informed := answer.Revision <= v.state.GetRevision()
+	if informed && (!known || sentAt >= last.sentAt) {
+		last.sentAt = sentAt
+		known = true
+	}
+	if known {
+		v.heard[answer.Incarnation] = last
+	}
 	v.confirm(now)
 	return advanced
 }
--- a/peer/change.go
+++ b/peer/change.go
@@ -213,10 +213,10 @@
 func nextState(state *wire.State, request commitRequest) (*wire.State, error) {
 	next := proto.CloneOf(state)
 	next.Revision = state.GetRevision() + 1
-	next.PriorSeats = state.GetSeats()
 	if err := request.build(next); err != nil {
 		return nil, err
 	}
+	authority.FollowSeats(next, state)
 	next.Changes = append(next.Changes, &wire.Change{
 		Id:       request.id,
 		Revision: next.GetRevision(),
