Load a fleet of real processes and hold the answers against what ran

Cause: nothing showed the whole path by machine. Change: load package (open-loop callers with cached look-ups, resends and a reference bucket a workspace), scenario tests over the real binaries.

--- /dev/null
+++ b/load/config.go
@@ -0,0 +1,55 @@
+// Package load sends an open-loop load to a fleet of entry instances, as
+// callers in several regions would, and judges the answers.
+package load
+
+import (
+	"time"
+)
+
+type (
+	// Workspace is one workspace's callers.
+	Workspace struct {
+		Name string
+		Key  string
+		// RatePerS is the workspace's rate and Burst its burst by the rules.
+		RatePerS float64
+		Burst    float64
+		// OfferedPerS is how many requests its callers send.
+		OfferedPerS float64
+		// Regions are the regions of its callers; empty means all.
+		Regions []string
+	}
+
+	// Target is one kind of request.
+	Target struct {
+		Service string
+		Method  string
+		Path    string
+		Once    bool
+		// Weight is the target's share of the load.
+		Weight float64
+	}
+
+	// Region is where callers are.
+	Region struct {
+		Name string
+		// Source is the address that the region's callers send from.
+		Source string
+	}
+
+	// Config configures a run.
+	Config struct {
+		// Lookups are the caller addresses that callers know from the start.
+		Lookups    []string
+		Regions    []Region
+		Workspaces []Workspace
+		Targets    []Target
+		Duration   time.Duration
+		// Timeout is how long a caller waits for one answer.
+		Timeout time.Duration
+		Seed    uint64
+		// ResendShare is the part of the requests that may run once which are
+		// sent again, through another instance, whatever the answer was.
+		ResendShare float64
+	}
+)
--- /dev/null
+++ b/scenario/fleet_test.go
@@ -0,0 +1,409 @@
+// Package scenario runs the real programs as separate processes on loopback and
+// breaks them.
+package scenario
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sort"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/bulrushferry/bulrushferry/load"
+	"github.com/bulrushferry/bulrushferry/rules"
+	"github.com/bulrushferry/bulrushferry/wire"
+	"github.com/valyala/fasthttp"
+	"google.golang.org/protobuf/encoding/protojson"
+)
+
+type (
+	fleet struct {
+		t       *testing.T
+		dir     string
+		names   []string
+		entries map[string]*wire.EntrySettings
+		procs   map[string]*exec.Cmd
+		keys    map[string]string
+		rules   *wire.Rules
+	}
+)
+
+const (
+	operatorToken  = "example-operator-token"
+	platform       = "http://127.0.10.1:8500"
+	settleTimeout  = 25 * time.Second
+	requestTimeout = 4 * time.Second
+)
+
+var binaries string
+
+func TestMain(m *testing.M) {
+	os.Exit(run(m))
+}
+
+func run(m *testing.M) int {
+	folder, err := os.MkdirTemp("", "bulrushferry")
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	binaries = folder
+	build := exec.Command("go", "build", "-o", folder+"/", "..", "../standin")
+	if out, err := build.CombinedOutput(); err != nil {
+		panic(fmt.Sprintf("building: %v\n%s", err, out))
+	}
+	return m.Run()
+}
+
+// newFleet starts a whole deployment with rules, keys and settled slots.
+func newFleet(t *testing.T, deployment string) *fleet {
+	t.Helper()
+	f := &fleet{
+		t: t, dir: t.TempDir(),
+		entries: make(map[string]*wire.EntrySettings),
+		procs:   make(map[string]*exec.Cmd),
+		keys:    make(map[string]string),
+	}
+	example := filepath.Join("..", "example", deployment)
+	if err := os.CopyFS(f.dir, os.DirFS(example)); err != nil {
+		t.Fatal(err)
+	}
+	certs, err := os.ReadFile(filepath.Join(f.dir, "certs.txt"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.command("standin", append([]string{"certs", "--out", filepath.Join(f.dir, "certs")}, strings.Fields(string(certs))...)...)
+	f.start("standin", "standin", "serve", "--deployment", filepath.Join(f.dir, "deployment.json"))
+	files, _ := filepath.Glob(filepath.Join(f.dir, "entries", "*.json"))
+	for _, file := range files {
+		raw, _ := os.ReadFile(file)
+		s := &wire.EntrySettings{}
+		if err := protojson.Unmarshal(raw, s); err != nil {
+			t.Fatal(err)
+		}
+		f.entries[s.GetInstance()] = s
+		f.names = append(f.names, s.GetInstance())
+	}
+	sort.Strings(f.names)
+	t.Cleanup(f.stopAll)
+	for _, name := range f.names {
+		f.startEntry(name)
+	}
+	f.waitSettled(len(f.names))
+	f.applyExample()
+	time.Sleep(5500 * time.Millisecond)
+	return f
+}
+
+func (f *fleet) startEntry(name string) {
+	f.start(name, "bulrushferry", "entry", "--settings", filepath.Join(f.dir, "entries", name+".json"))
+}
+
+// start runs a program whose output goes to a file that a failed test shows.
+func (f *fleet) start(name, program string, args ...string) {
+	f.t.Helper()
+	log, err := os.OpenFile(filepath.Join(f.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	cmd := exec.Command(filepath.Join(binaries, program), args...)
+	cmd.Stdout, cmd.Stderr = log, log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		f.t.Fatal(err)
+	}
+	f.procs[name] = cmd
+}
+
+func (f *fleet) stopAll() {
+	for name, cmd := range f.procs {
+		_ = cmd.Process.Signal(syscall.SIGCONT)
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+		if f.t.Failed() {
+			raw, _ := os.ReadFile(filepath.Join(f.dir, name+".log"))
+			lines := bytes.Split(raw, []byte("\n"))
+			f.t.Logf("end of %s.log:\n%s", name, bytes.Join(lines[max(0, len(lines)-8):], []byte("\n")))
+		}
+	}
+}
+
+func (f *fleet) kill(name string) {
+	f.t.Helper()
+	_ = f.procs[name].Process.Kill()
+	_ = f.procs[name].Wait()
+	delete(f.procs, name)
+}
+
+func (f *fleet) signal(name string, signal syscall.Signal) {
+	f.t.Helper()
+	if err := f.procs[name].Process.Signal(signal); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// wait waits for a process to end by itself and returns its exit code.
+func (f *fleet) wait(name string) int {
+	f.t.Helper()
+	cmd := f.procs[name]
+	delete(f.procs, name)
+	_ = cmd.Wait()
+	return cmd.ProcessState.ExitCode()
+}
+
+// command runs a program to its end and returns what it printed.
+func (f *fleet) command(program string, args ...string) string {
+	f.t.Helper()
+	out, code := f.try(program, args...)
+	if code != 0 {
+		f.t.Fatalf("%s %s: exit code %d\n%s", program, strings.Join(args, " "), code, out)
+	}
+	return out
+}
+
+func (f *fleet) try(program string, args ...string) (string, int) {
+	f.t.Helper()
+	cmd := exec.Command(filepath.Join(binaries, program), args...)
+	var addresses []string
+	for _, name := range f.names {
+		addresses = append(addresses, f.entries[name].GetOperatorAddress())
+	}
+	cmd.Env = append(os.Environ(), "BULRUSHFERRY_ENTRIES="+strings.Join(addresses, ","), "BULRUSHFERRY_OPERATOR_TOKEN="+operatorToken)
+	var out, errs bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &out, &errs
+	_ = cmd.Run()
+	if code := cmd.ProcessState.ExitCode(); code != 0 {
+		return out.String() + errs.String(), code
+	}
+	return out.String(), 0
+}
+
+// statuses asks the instances that answer for their status.
+func (f *fleet) statuses() map[string]*wire.Status {
+	out, _ := f.try("bulrushferry", "status", "--json", "--timeout", "500ms")
+	statuses := make(map[string]*wire.Status)
+	for _, line := range strings.Split(out, "\n") {
+		s := &wire.Status{}
+		if protojson.Unmarshal([]byte(line), s) == nil && s.GetInstance() != "" {
+			statuses[s.GetInstance()] = s
+		}
+	}
+	return statuses
+}
+
+// waitSettled waits until the slots are spread evenly over n instances.
+func (f *fleet) waitSettled(n int) {
+	f.t.Helper()
+	f.eventually(settleTimeout, fmt.Sprintf("slots spread over %d instances", n), func() bool {
+		total, holders := int32(0), 0
+		for _, s := range f.statuses() {
+			if s.GetSlotsHeld() > 0 && s.GetAuthority() {
+				holders++
+				total += s.GetSlotsHeld()
+			}
+		}
+		return holders == n && total == 42
+	})
+}
+
+func (f *fleet) eventually(limit time.Duration, what string, holds func() bool) time.Duration {
+	f.t.Helper()
+	started := time.Now()
+	for !holds() {
+		if time.Since(started) > limit {
+			f.t.Fatalf("not within %s: %s", limit, what)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return time.Since(started)
+}
+
+// applyExample applies the deployment's rules and issues a key to every workspace.
+func (f *fleet) applyExample() {
+	f.t.Helper()
+	file := filepath.Join(f.dir, "rules.txt")
+	f.command("bulrushferry", "rules", "apply", "--who", "test", file)
+	raw, _ := os.ReadFile(file)
+	parsed, faults := rules.Parse(raw)
+	if len(faults) > 0 {
+		f.t.Fatal(faults)
+	}
+	f.rules = parsed
+	for _, w := range parsed.GetWorkspaces() {
+		key := f.command("bulrushferry", "keys", "issue", "--id", w.GetName()+"-1", "--workspace", w.GetName())
+		f.keys[w.GetName()] = strings.TrimSpace(key)
+	}
+}
+
+// fault switches faults of the stand-in.
+func (f *fleet) fault(request *wire.FaultRequest) {
+	f.t.Helper()
+	raw, _ := protojson.Marshal(request)
+	status, body, err := post(platform+"/fault", raw)
+	if err != nil || status != fasthttp.StatusOK {
+		f.t.Fatalf("fault %s: %d %s %v", raw, status, body, err)
+	}
+}
+
+func post(url string, body []byte) (int, []byte, error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	req.SetRequestURI(url)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetBody(body)
+	err := fasthttp.DoTimeout(req, resp, 5*time.Second)
+	return resp.StatusCode(), resp.Body(), err
+}
+
+func (f *fleet) report() *wire.StandinReport {
+	f.t.Helper()
+	_, body, err := post(platform+"/report", nil)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	report := &wire.StandinReport{}
+	if err := protojson.Unmarshal(body, report); err != nil {
+		f.t.Fatal(err)
+	}
+	return report
+}
+
+// call sends one request to one instance and returns its outcome and status.
+func (f *fleet) call(instance, method, path, key, action string, body string) (outcome string, status int, answer string) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	req.SetRequestURI("http://" + f.entries[instance].GetCallerAddress() + path)
+	req.Header.SetMethod(method)
+	req.Header.Set("Authorization", "Bearer "+key)
+	if action != "" {
+		req.Header.Set("Idempotency-Key", action)
+	}
+	req.SetBodyString(body)
+	if err := fasthttp.DoTimeout(req, resp, requestTimeout); err != nil {
+		return "", 0, err.Error()
+	}
+	return string(resp.Header.Peek("Bulrushferry-Outcome")), resp.StatusCode(), string(resp.Body())
+}
+
+// prefix asks an instance for an action prefix.
+func (f *fleet) prefix(instance, service string) string {
+	f.t.Helper()
+	_, _, body := f.call(instance, "GET", "/v1/entries?service="+service, f.keys[f.rules.GetWorkspaces()[0].GetName()], "", "")
+	list := &wire.EntryList{}
+	if err := protojson.Unmarshal([]byte(body), list); err != nil {
+		f.t.Fatalf("look-up at %s: %v: %s", instance, err, body)
+	}
+	return list.GetActionPrefix()
+}
+
+// loadConfig is a load of all workspaces at a share of their rates.
+func (f *fleet) loadConfig(share float64, duration time.Duration) load.Config {
+	config := load.Config{Duration: duration, Timeout: requestTimeout, Seed: 1, ResendShare: 0.2}
+	for _, name := range f.names {
+		config.Lookups = append(config.Lookups, f.entries[name].GetCallerAddress())
+	}
+	for i, region := range f.rules.GetRegions() {
+		config.Regions = append(config.Regions, load.Region{Name: region.GetName(), Source: fmt.Sprintf("127.0.%d.1", 31+i)})
+	}
+	for _, w := range f.rules.GetWorkspaces() {
+		config.Workspaces = append(config.Workspaces, load.Workspace{
+			Name: w.GetName(), Key: f.keys[w.GetName()], RatePerS: w.GetRatePerS(), Burst: w.GetBurst(),
+			OfferedPerS: share * w.GetRatePerS(),
+		})
+	}
+	for _, route := range f.rules.GetRoutes() {
+		if route.GetOpen() {
+			continue
+		}
+		once := route.GetMode() == wire.RouteMode_ROUTE_MODE_ONCE
+		weight := 1.0
+		if once {
+			weight = 0.2
+		}
+		config.Targets = append(config.Targets, load.Target{
+			Service: route.GetService(), Path: route.GetPrefix() + "/1", Method: load.MethodOf(once), Once: once, Weight: weight,
+		})
+	}
+	return config
+}
+
+// underLoad runs a load while break runs, then checks the promises.
+func (f *fleet) underLoad(config load.Config, during func()) *load.Result {
+	f.t.Helper()
+	done := make(chan *load.Result, 1)
+	go func() { done <- load.Run(context.Background(), config) }()
+	during()
+	result := <-done
+	f.checkPromises(result)
+	return result
+}
+
+// checkPromises holds what callers were told against what the backend servers saw.
+func (f *fleet) checkPromises(result *load.Result) {
+	f.t.Helper()
+	report := f.report()
+	for action, runs := range report.GetRunsByAction() {
+		if runs > 1 {
+			f.t.Errorf("action %s ran %d times", action, runs)
+		}
+	}
+	for _, nonce := range result.NotRunNonces {
+		if runs := report.GetRunsByNonce()[nonce]; runs > 0 {
+			f.t.Errorf("request %s was refused as not run and ran %d times", nonce, runs)
+		}
+	}
+	if result.Mismatched > 0 {
+		f.t.Errorf("%d answers belong to other requests", result.Mismatched)
+	}
+	if report.GetKeysSeen() > 0 {
+		f.t.Errorf("%d keys reached backend servers", report.GetKeysSeen())
+	}
+	if report.GetOverSlots() > 0 || report.GetOverConnections() > 0 {
+		f.t.Errorf("slots exceeded %d times, connections %d times", report.GetOverSlots(), report.GetOverConnections())
+	}
+	if report.GetAfterDrain() > 0 {
+		f.t.Errorf("%d requests reached a leaving backend server late", report.GetAfterDrain())
+	}
+	f.checkRates(report)
+	summary, _ := json.Marshal(result)
+	worst, who := result.WorstServed()
+	f.t.Logf("worst served %.3f (%s), wrongful %.4f, %s", worst, who, result.WrongfulShare(), summary)
+}
+
+// checkRates holds the starts at the backend servers against each workspace's
+// bucket. A request starts up to its deadline after it was admitted, so a
+// window is that much longer at the servers than at the entry instances.
+func (f *fleet) checkRates(report *wire.StandinReport) {
+	f.t.Helper()
+	for _, w := range f.rules.GetWorkspaces() {
+		times := report.GetRunTimes()[w.GetName()].GetAtMs()
+		sort.Slice(times, func(i, j int) bool { return times[i] < times[j] })
+		const slackSeconds = 3
+		level, at := w.GetBurst()+w.GetRatePerS()*slackSeconds, int64(0)
+		for _, ms := range times {
+			level = min(w.GetBurst()+w.GetRatePerS()*slackSeconds, level+w.GetRatePerS()*float64(ms-at)/1000)
+			at = ms
+			level--
+			if level < -1 {
+				f.t.Errorf("workspace %s ran past its rate at %d ms", w.GetName(), ms)
+				return
+			}
+		}
+	}
+}
+
+// elsewhere returns an instance that is not the given one.
+func (f *fleet) elsewhere(name string) string {
+	for _, other := range f.names {
+		if other != name {
+			return other
+		}
+	}
+	return name
+}
+
