--- /dev/null
+++ b/authority/pause.go
@@ -0,0 +1,31 @@
+package authority
+
+import "github.com/bulrushferry/bulrushferry/clock"
+
+// PauseGuard notices that its process was stopped for a while and went on. The
+// requests that piled up meanwhile are stale: their callers have gone, and
+// running them would use up rate that others are entitled to.
+type PauseGuard struct {
+	// Limit is the longest gap between ticks of a process that runs.
+	Limit clock.Millis
+	// Settle is how long after a pause the process acts on nothing.
+	Settle clock.Millis
+
+	started  bool
+	lastTick clock.Millis
+	until    clock.Millis
+}
+
+// Tick is called at short, regular intervals.
+func (g *PauseGuard) Tick(now clock.Millis) {
+	if g.started && now-g.lastTick > g.Limit {
+		g.until = now + g.Settle
+	}
+	g.started = true
+	g.lastTick = now
+}
+
+// Paused reports whether the process is, or has just been, stopped.
+func (g *PauseGuard) Paused(now clock.Millis) bool {
+	return now < g.until || (g.started && now-g.lastTick > g.Limit)
+}
--- a/backend/server.go
+++ b/backend/server.go
@@ -33,6 +33,7 @@
 		leaving  bool
 		drained  bool
 		busy     bool
+		probing  bool
 	}
 
 	// latency is an exponential average.
--- a/caller/server.go
+++ b/caller/server.go
@@ -115,6 +115,10 @@
 func (s *Server) handleLookup(ctx *fasthttp.RequestCtx) {
 	state := s.config.Fleet.State()
 	service := string(ctx.QueryArgs().Peek("service"))
+	if !s.config.Fleet.HasAuthority() || state.GetRulesRevision() == 0 {
+		s.finish(ctx, s.newID(), noAuthority(&ctx.Request))
+		return
+	}
 	if rules.Service(state.GetRules(), service) == nil {
 		s.finish(ctx, s.newID(), refuse(CodeNoRoute, fmt.Sprintf("there is no service %q", service)))
 		return
@@ -171,6 +175,9 @@
 // check turns a caller's request into a job, or refuses it.
 func (s *Server) check(ctx *fasthttp.RequestCtx, id string, now clock.Millis) (Job, Answer, bool) {
 	state := s.config.Fleet.State()
+	if !s.config.Fleet.HasAuthority() || state.GetRulesRevision() == 0 {
+		return Job{}, noAuthority(&ctx.Request), false
+	}
 	if answer, ok := checkForm(&ctx.Request); !ok {
 		return Job{}, answer, false
 	}
@@ -205,6 +212,16 @@
 	return job, Answer{}, true
 }
 
+// noAuthority refuses a request before anything about it is known. One that has
+// a name may have run in an earlier attempt.
+func noAuthority(request *fasthttp.Request) Answer {
+	answer := refuse(CodeNoAuthority, "this instance has no recent word from the platform or from more than half of the fleet")
+	if _, count := actionOf(request); count > 0 {
+		return answer.WithUnknown()
+	}
+	return answer
+}
+
 // afterAction weakens the refusal of a request that may run once: an earlier
 // attempt, sent while its key was good, may have run.
 func (s *Server) afterAction(job Job, answer Answer) Answer {
--- a/entry/run.go
+++ b/entry/run.go
@@ -67,6 +67,7 @@
 	group.Go(func() { p.Loans.Run(background) })
 	group.Go(func() { p.watchServers(background) })
 	group.Go(func() { p.tick(background) })
+	group.Go(func() { every(background, probeInterval, p.Pool.Probe) })
 	failed := make(chan error, 2)
 	go func() { failed <- p.Callers.Serve(callers) }()
 	go func() { failed <- p.Operators.Serve(operators) }()
--- a/load/caller.go
+++ b/load/caller.go
@@ -25,8 +25,9 @@
 	}
 
 	remembered struct {
-		list  *wire.EntryList
-		until time.Time
+		list     *wire.EntryList
+		until    time.Time
+		renewing bool
 	}
 
 	// reply is one answer to one try.
@@ -40,7 +41,7 @@
 
 const (
 	lookupTimeout  = time.Second
-	maxTries       = 3
+	maxTries       = 5
 	maxConnections = 4096
 )
 
@@ -59,20 +60,38 @@
 	}
 }
 
-// lookup returns the instances that a workspace's callers should use.
+// lookup returns the instances that a workspace's callers should use. While an
+// old answer is being renewed the callers go on using it.
 func (c *callers) lookup(w Workspace, service string) *wire.EntryList {
 	key := w.Name + " " + service
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if old, ok := c.known[key]; ok && time.Now().Before(old.until) {
+	old, ok := c.known[key]
+	renew := !ok || (!old.renewing && time.Now().After(old.until))
+	if ok && renew {
+		old.renewing = true
+		c.known[key] = old
+	}
+	c.mu.Unlock()
+	switch {
+	case !renew:
 		return old.list
+	case ok:
+		go c.renew(w, service, old.list)
+		return old.list
+	default:
+		return c.renew(w, service, nil)
 	}
-	list := c.ask(w, service)
+}
+
+func (c *callers) renew(w Workspace, service string, old *wire.EntryList) *wire.EntryList {
+	list := c.ask(w, service, old)
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if list == nil {
-		return c.known[key].list
+		list = old
 	}
 	until := time.Now().Add(time.Duration(list.GetMaxAgeMs()) * time.Millisecond)
-	c.known[key] = remembered{list: list, until: until}
+	c.known[w.Name+" "+service] = remembered{list: list, until: until}
 	return list
 }
 
@@ -86,12 +105,12 @@
 }
 
 // ask asks one instance after another, those of the last answer first.
-func (c *callers) ask(w Workspace, service string) *wire.EntryList {
-	addresses := append([]string(nil), c.lookups...)
-	for _, entry := range c.known[w.Name+" "+service].list.GetEntries() {
-		addresses = append([]string{entry.GetAddress()}, addresses...)
+func (c *callers) ask(w Workspace, service string, old *wire.EntryList) *wire.EntryList {
+	var addresses []string
+	for _, entry := range old.GetEntries() {
+		addresses = append(addresses, entry.GetAddress())
 	}
-	for _, address := range addresses {
+	for _, address := range append(addresses, c.lookups...) {
 		req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 		req.SetRequestURI("http://" + address + "/v1/entries?service=" + service)
 		req.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+w.Key)
--- a/load/result.go
+++ b/load/result.go
@@ -48,6 +48,7 @@
 		workspace string
 		outcome   string
 		code      string
+		failure   string
 		matched   bool
 		entitled  bool
 		took      time.Duration
@@ -112,6 +113,7 @@
 		r.Unknown++
 	default:
 		r.Failed++
+		v.code = "failed: " + v.failure
 	}
 	if v.code != "" {
 		r.Codes[v.code]++
--- a/load/run.go
+++ b/load/run.go
@@ -100,6 +100,7 @@
 		workspace: w.Name,
 		outcome:   last.outcome,
 		code:      last.code,
+		failure:   fmt.Sprint(last.err),
 		matched:   last.matches(nonce),
 		entitled:  entitled,
 		took:      time.Since(started),
--- a/peer/fleet.go
+++ b/peer/fleet.go
@@ -55,6 +55,7 @@
 
 		mu       sync.Mutex
 		view     *authority.View
+		pause    authority.PauseGuard
 		rates    authority.History
 		units    authority.History
 		members  map[string]Member
@@ -76,6 +77,10 @@
 
 const (
 	tickInterval = 100 * clock.Millis(1)
+	// pauseLimit is the longest gap between ticks of a process that runs.
+	pauseLimit = 800 * clock.Millis(1)
+	// pauseSettle is how long after a pause stale requests are refused.
+	pauseSettle = 500 * clock.Millis(1)
 	// drainMargin is added to every wait for a former holder to stop.
 	drainMargin = 250 * clock.Millis(1)
 	// forgetAfter is how long a silent member is remembered.
@@ -93,6 +98,7 @@
 			PeerAddress: config.Self.GetPeerAddress(),
 			Term:        config.Timing.AuthorityTerm,
 		}),
+		pause:   authority.PauseGuard{Limit: pauseLimit, Settle: pauseSettle},
 		members: make(map[string]Member),
 		calling: make(map[string]bool),
 		load:    func() []*wire.ServiceLoad { return nil },
@@ -154,7 +160,8 @@
 func (f *Fleet) HasAuthority() bool {
 	for {
 		f.mu.Lock()
-		authorised := f.view.HasAuthority(f.config.Clock.Now())
+		now := f.config.Clock.Now()
+		authorised := f.view.HasAuthority(now) && !f.pause.Paused(now)
 		applied := f.applied == f.view.State().GetRevision()
 		f.mu.Unlock()
 		if !authorised || applied {
@@ -220,7 +227,7 @@
 		Region:        f.config.Self.GetRegion(),
 		FailureDomain: f.config.FailureDomain,
 		Revision:      f.view.State().GetRevision(),
-		Authority:     f.view.HasAuthority(now),
+		Authority:     f.view.HasAuthority(now) && !f.pause.Paused(now),
 		StoreFresh:    f.view.StoreFresh(now),
 		SlotsHeld:     int32(authority.SlotsHeld(f.view.State(), f.config.Self.GetIncarnation())),
 		SlotsHeard:    int32(f.view.SlotsHeard(now)),
@@ -262,6 +269,7 @@
 func (f *Fleet) settle() {
 	f.mu.Lock()
 	now := f.config.Clock.Now()
+	f.pause.Tick(now)
 	state := f.view.State()
 	if at, ok := f.view.ConfirmedAt(); ok && f.settled < state.GetRevision() {
 		f.settled = state.GetRevision()
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -153,9 +153,9 @@
 		return
 	}
 	if !s.begin() {
+		ctx.Error("draining", fasthttp.StatusServiceUnavailable)
 		ctx.Response.Header.Set("Not-Run", "1")
 		ctx.Response.Header.Set("Draining", "1")
-		ctx.Error("draining", fasthttp.StatusServiceUnavailable)
 		return
 	}
 	defer s.end()
