Keep regions and links within their limits, refuse answers without a length, and test the parts

Ruled out: reading the length after fasthttp has read the body, for it replaces the mark with the length read. Change: a region's capacity goes round its instances like a server's units; what an instance sends to another region is held to its part of the link; the head of an answer is read and checked before its body; a rule that drains an entry instance also takes it out of its own look-ups.

--- a/backend/conn.go
+++ b/backend/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"io"
 	"net"
 	"net/netip"
 	"os"
@@ -50,7 +51,10 @@
 	dialTimeout      = 500 * time.Millisecond
 	maxResponseBytes = 16 << 20
 	bufferBytes      = 8 << 10
-	identityLength   = -2
+	// chunkedLength and identityLength are fasthttp's marks for bodies that
+	// come in chunks and that end with the connection.
+	chunkedLength  = -1
+	identityLength = -2
 )
 
 // dial opens a connection from a source address; the zero address means any.
@@ -79,6 +83,7 @@
 // connection must be closed.
 func (c *conn) exchange(request *fasthttp.Request, response *fasthttp.Response, limits exchangeLimits) error {
 	c.written = 0
+	response.Reset()
 	request.Header.Set(RequestIDHeader, limits.requestID)
 	request.Header.Set(DeadlineHeader, strconv.FormatInt(int64(limits.budget), 10))
 	if err := c.SetDeadline(limits.deadline); err != nil {
@@ -88,12 +93,46 @@
 		return err
 	}
 	response.SkipBody = request.Header.IsHead()
-	if err := response.ReadLimitBody(c.reader, maxResponseBytes); err != nil {
-		return c.readError(err)
+	if err := c.readAnswer(response); err != nil {
+		return err
 	}
 	return checkAnswer(response, limits.requestID)
 }
 
+// readAnswer reads the head and the whole body. An answer whose body has no
+// length is refused, for it cannot be told from one that was cut.
+func (c *conn) readAnswer(response *fasthttp.Response) error {
+	if err := response.Header.Read(c.reader); err != nil {
+		return c.readError(err)
+	}
+	if response.StatusCode() == fasthttp.StatusContinue {
+		if err := response.Header.Read(c.reader); err != nil {
+			return c.readError(err)
+		}
+	}
+	if response.SkipBody || hasNoBody(response.StatusCode()) {
+		return nil
+	}
+	if response.Header.ContentLength() == identityLength {
+		return ErrLost.New("the answer has no length, so it cannot be known to be whole")
+	}
+	chunked := response.Header.ContentLength() == chunkedLength
+	if err := response.ReadBody(c.reader, maxResponseBytes); err != nil {
+		return c.readError(err)
+	}
+	if !chunked {
+		return nil
+	}
+	if err := response.Header.ReadTrailer(c.reader); err != nil && !errors.Is(err, io.EOF) {
+		return c.readError(err)
+	}
+	return nil
+}
+
+func hasNoBody(status int) bool {
+	return status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
+}
+
 func (c *conn) send(request *fasthttp.Request) error {
 	err := request.Write(c.writer)
 	if err == nil {
@@ -121,9 +160,6 @@
 	if len(echoed) > 0 && string(echoed) != requestID {
 		return ErrForeignAnswer.New("the answer is to request %s", echoed)
 	}
-	if response.Header.ContentLength() == identityLength && !response.SkipBody {
-		return ErrLost.New("the answer has no length, so it cannot be known to be whole")
-	}
 	if len(response.Header.Peek(DeclinedHeader)) > 0 {
 		return ErrDeclined.New("the backend server answered %d", response.StatusCode())
 	}
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -23,6 +23,9 @@
 		// Units returns this instance's part of a server's slots and of its
 		// connections.
 		Units func(*wire.BackendServer) (slots, connections int)
+		// RegionUnits returns this instance's part of the requests that a
+		// region may run at once.
+		RegionUnits func(region string) int
 		// Spread tells the peers about a request that crashes servers. It
 		// returns once they know, or after a short while.
 		Spread func(*wire.Suspect)
@@ -40,9 +43,17 @@
 		mu       sync.Mutex
 		servers  map[string]*server
 		services map[string]*serviceTable
+		regions  map[string]*regionLoad
 		listed   bool
 	}
 
+	// regionLoad is what this instance runs in one region, and its part of the
+	// region's capacity.
+	regionLoad struct {
+		inFlight int
+		units    int
+	}
+
 	// serviceTable is the servers of one service and the requests that wait
 	// for them.
 	serviceTable struct {
@@ -70,6 +81,7 @@
 		budgets:    NewBudgets(),
 		servers:    make(map[string]*server),
 		services:   make(map[string]*serviceTable),
+		regions:    make(map[string]*regionLoad),
 	}
 }
 
@@ -110,7 +122,7 @@
 	if ok {
 		p.remove(s)
 	}
-	s = &server{info: info, warm: !p.listed, coldSince: now}
+	s = &server{info: info, warm: !p.listed, coldSince: now, region: p.region(info.GetRegion())}
 	s.units, s.connections = p.config.Units(info)
 	p.servers[info.GetName()] = s
 	table := p.table(info.GetService())
@@ -118,6 +130,15 @@
 	return s
 }
 
+func (p *Pool) region(name string) *regionLoad {
+	r, ok := p.regions[name]
+	if !ok {
+		r = &regionLoad{units: p.config.RegionUnits(name)}
+		p.regions[name] = r
+	}
+	return r
+}
+
 func (p *Pool) remove(s *server) {
 	table := p.table(s.info.GetService())
 	for i, other := range table.servers {
@@ -146,6 +167,10 @@
 func (p *Pool) Rebase() {
 	type part struct{ slots, connections int }
 	p.mu.Lock()
+	regions := make([]string, 0, len(p.regions))
+	for name := range p.regions {
+		regions = append(regions, name)
+	}
 	infos := make([]*wire.BackendServer, 0, len(p.servers))
 	for _, s := range p.servers {
 		infos = append(infos, s.info)
@@ -156,8 +181,15 @@
 		slots, connections := p.config.Units(info)
 		parts[info.GetName()] = part{slots, connections}
 	}
+	regionUnits := make(map[string]int, len(regions))
+	for _, name := range regions {
+		regionUnits[name] = p.config.RegionUnits(name)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	for name, units := range regionUnits {
+		p.regions[name].units = units
+	}
 	for name, part := range parts {
 		s := p.servers[name]
 		s.units = part.slots
@@ -224,8 +256,10 @@
 	}
 	s := table.servers[i]
 	s.inFlight++
+	s.region.inFlight++
 	s.triedAt = now
 	p.check(s.inFlight <= s.units, "server %s has %d requests, its part is %d", s.info.GetName(), s.inFlight, s.units)
+	p.check(s.region.inFlight <= s.region.units, "region %s has %d requests, this instance's part is %d", s.info.GetRegion(), s.region.inFlight, s.region.units)
 	return s
 }
 
@@ -238,6 +272,7 @@
 
 func (p *Pool) free(s *server) {
 	s.inFlight--
+	s.region.inFlight--
 	p.check(s.inFlight >= 0, "server %s has %d requests", s.info.GetName(), s.inFlight)
 	p.dispatch(p.table(s.info.GetService()))
 }
--- a/backend/server.go
+++ b/backend/server.go
@@ -12,7 +12,8 @@
 	// server is one backend server as this instance sees it. The pool's lock
 	// guards it.
 	server struct {
-		info *wire.BackendServer
+		info   *wire.BackendServer
+		region *regionLoad
 		// units and connections are this instance's parts of the limits.
 		units       int
 		connections int
@@ -80,6 +81,8 @@
 		return "drained by a rule"
 	case now < s.badUntil:
 		return "failed a moment ago"
+	case s.region.inFlight >= s.region.units:
+		return "the region is at its capacity"
 	default:
 		return ""
 	}
--- a/caller/action.go
+++ b/caller/action.go
@@ -28,11 +28,11 @@
 // passAction passes an action to its incarnation. An earlier attempt may have
 // run there, so nothing that fails on the way proves that it did not.
 func (e *Executor) passAction(ctx context.Context, job Job, incarnation string) Answer {
-	address, ok := e.config.Fleet.Address(incarnation).Get()
+	member, ok := e.config.Fleet.Member(incarnation).Get()
 	if !ok {
 		return unknown(CodeActionUnknown, "the instance that may run this action cannot be reached")
 	}
-	answer := e.pass(ctx, job, address)
+	answer := e.pass(ctx, job, member)
 	if answer.Code == CodeNoCapacity || answer.Code == CodeNoAuthority || answer.Code == CodeKey {
 		return answer.WithUnknown()
 	}
--- /dev/null
+++ b/caller/blocks_test.go
@@ -0,0 +1,73 @@
+package caller
+
+import (
+	"encoding/binary"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+)
+
+const (
+	sizedBlocks = 940_000
+	sizedSites  = 1_600
+	maxBytes    = 16 << 20
+)
+
+// sizedTable is a table of the size that the aim asks for.
+func sizedTable() *BlockTable {
+	blocks := make([]Block, sizedBlocks)
+	for i := range blocks {
+		blocks[i] = Block{Prefix: netip.PrefixFrom(address(uint32(i)<<12), 20), Site: uint16(i % sizedSites)}
+	}
+	return NewBlockTable(blocks)
+}
+
+func address(n uint32) netip.Addr {
+	var raw [4]byte
+	binary.BigEndian.PutUint32(raw[:], n)
+	return netip.AddrFrom4(raw)
+}
+
+func TestBlockTable(t *testing.T) {
+	table := NewBlockTable([]Block{
+		{netip.MustParsePrefix("10.0.0.0/8"), 1},
+		{netip.MustParsePrefix("10.1.0.0/16"), 2},
+		{netip.MustParsePrefix("10.1.2.0/24"), 3},
+		{netip.MustParsePrefix("10.2.0.0/16"), 4},
+		{netip.MustParsePrefix("255.0.0.0/8"), 5},
+	})
+	cases := map[string]uint16{
+		"9.255.255.255": NoSite, "10.0.0.0": 1, "10.1.0.0": 2, "10.1.2.3": 3, "10.1.3.0": 2,
+		"10.2.0.1": 4, "10.3.0.0": 1, "11.0.0.0": NoSite, "255.255.255.255": 5, "::1": NoSite,
+	}
+	for text, want := range cases {
+		if got := table.Find(netip.MustParseAddr(text)); got != want {
+			t.Errorf("%s: got site %d, want %d", text, got, want)
+		}
+	}
+}
+
+func TestBlockTableFitsItsSize(t *testing.T) {
+	table := sizedTable()
+	if table.Bytes() > maxBytes {
+		t.Errorf("the table takes %d bytes", table.Bytes())
+	}
+	if n := testing.AllocsPerRun(100, func() { table.Find(address(77 << 20)) }); n > 0 {
+		t.Errorf("a look-up allocates %f times", n)
+	}
+	t.Logf("%d bytes", table.Bytes())
+}
+
+func BenchmarkFind(b *testing.B) {
+	table := sizedTable()
+	addresses := make([]netip.Addr, 4096)
+	for i := range addresses {
+		addresses[i] = address(rand.Uint32())
+	}
+	b.ReportMetric(float64(table.Bytes())/sizedBlocks, "bytes/block")
+	i := 0
+	for b.Loop() {
+		table.Find(addresses[i&4095])
+		i++
+	}
+}
--- a/caller/executor.go
+++ b/caller/executor.go
@@ -24,6 +24,7 @@
 		Actions *once.Table
 		Claimer *once.Claimer
 		Keys    *Keys
+		Links   *Links
 		Log     hclog.Logger
 	}
 
@@ -63,7 +64,7 @@
 	}
 	job = job.WithAdmitted()
 	if member, ok := e.spill(job).Get(); ok {
-		return e.pass(ctx, job.WithoutAction(), member.Seat.GetPeerAddress())
+		return e.pass(ctx, job.WithoutAction(), member)
 	}
 	return e.runHere(ctx, job)
 }
@@ -123,15 +124,20 @@
 
 // pass runs a job at a peer. When the peer cannot be reached nothing was run;
 // when its answer is lost the outcome is unknown.
-func (e *Executor) pass(ctx context.Context, job Job, address string) Answer {
+func (e *Executor) pass(ctx context.Context, job Job, member peer.Member) Answer {
 	if err := e.mayStillRun(job); err != nil {
 		return fromResult(backend.Result{Outcome: wire.Outcome_OUTCOME_NOT_RUN, Err: err})
 	}
 	now := e.config.Clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, (job.Deadline - now).Duration())
 	defer cancel()
-	response, err := e.config.Network.Call(ctx, address, &wire.PeerRequest{
-		Body: &wire.PeerRequest_Forward{Forward: job.forward(now)},
+	forward := job.forward(now)
+	forward.FromRegion = e.config.Fleet.Region()
+	if err := e.config.Links.Spend(ctx, member.Seat.GetRegion(), len(forward.GetRequest())); err != nil {
+		return refuse(CodeNoCapacity, err.Error())
+	}
+	response, err := e.config.Network.Call(ctx, member.Seat.GetPeerAddress(), &wire.PeerRequest{
+		Body: &wire.PeerRequest_Forward{Forward: forward},
 	})
 	if errorx.IsOfType(err, peer.ErrUnreachable) {
 		return refuse(CodeNoCapacity, "the peer that was to run the request cannot be reached")
@@ -166,6 +172,9 @@
 		return toForward(forward.GetRequestId(), refuse(CodeBadRequest, "the passed on request cannot be read"))
 	}
 	defer fasthttp.ReleaseRequest(request)
+	if !e.config.Links.Open(forward.GetFromRegion()) {
+		return toForward(forward.GetRequestId(), e.linkFull(forward))
+	}
 	answer := e.Execute(ctx, Job{
 		ID:          forward.GetRequestId(),
 		Service:     forward.GetService(),
@@ -179,7 +188,21 @@
 		Final:       true,
 		Request:     request,
 	})
-	return toForward(forward.GetRequestId(), answer)
+	out := toForward(forward.GetRequestId(), answer)
+	if err := e.config.Links.Spend(ctx, forward.GetFromRegion(), len(out.GetResponse())); err != nil {
+		return toForward(forward.GetRequestId(), unknown(CodeBackend, err.Error()))
+	}
+	return out
+}
+
+// linkFull refuses a passed on request whose answer the link back has no room
+// for. Of an action, an earlier attempt may have run.
+func (e *Executor) linkFull(forward *wire.Forward) Answer {
+	answer := refuse(CodeNoCapacity, "the link between the regions is full")
+	if forward.GetAction() != "" {
+		return answer.WithUnknown()
+	}
+	return answer
 }
 
 func toForward(id string, answer Answer) *wire.ForwardAnswer {
--- /dev/null
+++ b/caller/link.go
@@ -0,0 +1,121 @@
+package caller
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/bulrushferry/bulrushferry/clock"
+	"github.com/joomcode/errorx"
+)
+
+type (
+	// LinksConfig configures Links.
+	LinksConfig struct {
+		Clock clock.Clock
+		// Region is this instance's own region.
+		Region string
+		// BitsPerS returns this instance's part of what the links to another
+		// region carry, in bits a second.
+		BitsPerS func(to string) float64
+	}
+
+	// Links keep what this instance sends to other regions within its part of
+	// the links between them. They are safe for concurrent use.
+	Links struct {
+		config LinksConfig
+
+		mu    sync.Mutex
+		links map[string]*link
+	}
+
+	// link is a token bucket that may go below zero: the next one to send
+	// waits until it is filled again.
+	link struct {
+		level     float64
+		updatedAt clock.Millis
+	}
+)
+
+const (
+	bitsPerByte = 8
+	// headShare is the part of a link left to control messages and headers.
+	headShare = 0.1
+	// linkBurst is how much of a second's traffic may be sent at once.
+	linkBurst = 0.1
+)
+
+var errLinkFull = errorSpace.NewType("link_full", errorx.Temporary())
+
+// NewLinks returns links that have not been used yet.
+func NewLinks(config LinksConfig) *Links {
+	return &Links{config: config, links: make(map[string]*link)}
+}
+
+// Open reports whether something may be sent to a region without waiting.
+func (l *Links) Open(to string) bool {
+	if to == l.config.Region || to == "" {
+		return true
+	}
+	rate := l.rate(to)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.fill(to, rate).level > 0
+}
+
+// Spend takes the room for a message to a region, and waits for it where
+// necessary. It fails when the context ends first; then nothing may be sent.
+func (l *Links) Spend(ctx context.Context, to string, bytes int) error {
+	if to == l.config.Region || to == "" {
+		return nil
+	}
+	wait := l.take(to, bytes)
+	if wait <= 0 {
+		return nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		l.giveBack(to, bytes)
+		return errLinkFull.New("the link to region %s is full", to)
+	}
+}
+
+// take books a message and returns how long to wait before it may be sent.
+func (l *Links) take(to string, bytes int) time.Duration {
+	rate := l.rate(to)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known := l.fill(to, rate)
+	wait := time.Duration(0)
+	if known.level < 0 {
+		wait = time.Duration(-known.level / max(rate, 1) * float64(time.Second))
+	}
+	known.level -= float64(bytes * bitsPerByte)
+	return wait
+}
+
+func (l *Links) giveBack(to string, bytes int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.links[to].level += float64(bytes * bitsPerByte)
+}
+
+func (l *Links) rate(to string) float64 {
+	return l.config.BitsPerS(to) * (1 - headShare)
+}
+
+func (l *Links) fill(to string, rate float64) *link {
+	now := l.config.Clock.Now()
+	known, ok := l.links[to]
+	if !ok {
+		known = &link{level: rate * linkBurst, updatedAt: now}
+		l.links[to] = known
+	}
+	known.level = min(rate*linkBurst, known.level+rate*(now-known.updatedAt).Seconds())
+	known.updatedAt = now
+	return known
+}
--- a/caller/lookup.go
+++ b/caller/lookup.go
@@ -74,10 +74,10 @@
 // weight is the number of slots of the service that an instance has free.
 func (s *Steering) choices(state *wire.State, service string) []*wire.EntryChoice {
 	var out []*wire.EntryChoice
-	if !s.fleet.Stopping() {
+	drained := drainedInstances(state)
+	if !s.fleet.Stopping() && !drained[s.fleet.Self().GetInstance()] {
 		out = append(out, choice(s.fleet.Self(), freeSlots(s.load(), service)))
 	}
-	drained := drainedInstances(state)
 	for _, member := range s.fleet.Members() {
 		held := authority.SlotsHeld(state, member.Seat.GetIncarnation())
 		if member.Stopping || held == 0 || drained[member.Seat.GetInstance()] {
--- a/caller/spill.go
+++ b/caller/spill.go
@@ -88,6 +88,9 @@
 		if member.Stopping || free < minSpillSlots || (region != "" && member.Seat.GetRegion() != region) {
 			continue
 		}
+		if !e.config.Links.Open(member.Seat.GetRegion()) {
+			continue
+		}
 		members = append(members, member)
 		slots = append(slots, free)
 		total += free
--- a/entry/wiring.go
+++ b/entry/wiring.go
@@ -6,6 +6,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"io"
+	"math"
 	"net/netip"
 	"path/filepath"
 	"time"
@@ -53,6 +54,7 @@
 
 const (
 	incarnationBytes  = 6
+	bitsPerMbit       = 1e6
 	maxActions        = 200_000
 	maxRememberedBody = 64 << 10
 	maxTokenWait      = 250 * clock.Millis(1)
@@ -75,6 +77,7 @@
 		newPool,
 		newActions,
 		newClaimer,
+		newLinks,
 		newExecutor,
 		newSteering,
 		newCallers,
@@ -191,6 +194,7 @@
 		Log:              log.Named("backend"),
 		Source:           source(settings),
 		Units:            func(server *wire.BackendServer) (int, int) { return unitParts(fleet, server) },
+		RegionUnits:      func(region string) int { return regionPart(fleet, region) },
 		Spread:           func(suspect *wire.Suspect) { spreadSuspect(fleet, network, suspect) },
 		AssertInvariants: settings.GetAssertInvariants(),
 	})
@@ -210,6 +214,21 @@
 	return fleet.UnitPart(part(rule.GetSlots())), fleet.UnitPart(part(rule.GetConnections()))
 }
 
+// regionPart returns this instance's part of a region's capacity, which goes
+// round the region's seat holders like the units of a server.
+func regionPart(fleet *peer.Fleet, region string) int {
+	capacity := 0
+	for _, rule := range fleet.State().GetRules().GetRegions() {
+		if rule.GetName() == region {
+			capacity = int(rule.GetCapacity())
+		}
+	}
+	like := &wire.BackendServer{Name: region, Region: region}
+	return fleet.UnitPart(func(state *wire.State) int {
+		return authority.UnitShare(state, like, capacity, fleet.Incarnation())
+	})
+}
+
 // spreadSuspect tells every peer about a request that crashes servers, and
 // waits a short while for them to know.
 func spreadSuspect(fleet *peer.Fleet, network *peer.Transport, suspect *wire.Suspect) {
@@ -232,6 +251,30 @@
 	return once.NewClaimer(once.ClaimerConfig{Table: table, Incarnation: fleet.Incarnation()})
 }
 
+func newLinks(c clock.Clock, fleet *peer.Fleet) *caller.Links {
+	return caller.NewLinks(caller.LinksConfig{
+		Clock:  c,
+		Region: fleet.Region(),
+		BitsPerS: func(to string) float64 {
+			return linkPart(fleet, to)
+		},
+	})
+}
+
+// linkPart returns this instance's part, in bits a second, of what the links
+// from its region to another one carry. The slower of the two ends counts.
+func linkPart(fleet *peer.Fleet, to string) float64 {
+	limit := math.Inf(1)
+	for _, rule := range fleet.State().GetRules().GetRegions() {
+		if rule.GetName() == to || rule.GetName() == fleet.Region() {
+			limit = min(limit, rule.GetLinkMbitPerS())
+		}
+	}
+	return fleet.RatePart(func(state *wire.State) float64 {
+		return limit * bitsPerMbit * authority.RegionShare(state, fleet.Region(), fleet.Incarnation())
+	})
+}
+
 func newExecutor(p executorParts) *caller.Executor {
 	return caller.NewExecutor(caller.ExecutorConfig{
 		Clock:   p.Clock,
@@ -242,6 +285,7 @@
 		Actions: p.Actions,
 		Claimer: p.Claimer,
 		Keys:    p.Keys,
+		Links:   p.Links,
 		Log:     p.Log.Named("caller"),
 	})
 }
@@ -258,6 +302,7 @@
 	Actions *once.Table
 	Claimer *once.Claimer
 	Keys    *caller.Keys
+	Links   *caller.Links
 	Log     hclog.Logger
 }
 
--- a/peer/fleet.go
+++ b/peer/fleet.go
@@ -192,14 +192,14 @@
 	return f.liveMembers(f.config.Clock.Now())
 }
 
-// Address returns the peer address of an incarnation that was heard lately.
-func (f *Fleet) Address(incarnation string) values.Option[string] {
+// Member returns the peer of an incarnation that was heard lately.
+func (f *Fleet) Member(incarnation string) values.Option[Member] {
 	for _, member := range f.Members() {
 		if member.Seat.GetIncarnation() == incarnation {
-			return values.Some(member.Seat.GetPeerAddress())
+			return values.Some(member)
 		}
 	}
-	return values.None[string]()
+	return values.None[Member]()
 }
 
 // Stop makes the fleet plan without this instance from now on.
--- /dev/null
+++ b/scenario/script_test.go
@@ -0,0 +1,18 @@
+package scenario
+
+import (
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// TestScripts runs the command line's scenarios with the real program.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata",
+		Setup: func(env *testscript.Env) error {
+			env.Setenv("PATH", binaries+":"+env.Getenv("PATH"))
+			return nil
+		},
+	})
+}
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -18,6 +18,8 @@
 		service *wire.DeploymentService
 		info    *wire.BackendServer
 		coldAt  time.Time
+		// slots holds one token a slot; requests beyond them wait.
+		slots chan struct{}
 
 		mu           sync.Mutex
 		listener     net.Listener
@@ -70,6 +72,7 @@
 			Address:       fmt.Sprintf("%s%d:%d", region.GetServerPrefix(), i+1, service.GetPort()),
 		},
 		conns:      make(map[net.Conn]int),
+		slots:      make(chan struct{}, service.GetSlots()),
 		slowFactor: 1,
 	}
 }
@@ -160,7 +163,9 @@
 	}
 	defer s.end()
 	s.world.log.run(s, &ctx.Request, time.Since(s.world.started))
+	s.slots <- struct{}{}
 	time.Sleep(s.serviceTime(ctx))
+	<-s.slots
 	s.respond(ctx)
 }
 
