--- a/once/table_test.go
+++ b/once/table_test.go
@@ -93,7 +93,7 @@
 }
 
 func (m *twoTables) passTime(t *rapid.T) {
-	m.now += clock.Millis(rapid.Int64Range(0, int64(EpochLength)).Draw(t, "span"))
+	m.now += clock.Millis(rapid.Int64Range(0, 3*int64(EpochLength)).Draw(t, "span"))
 	m.tables["a-1"].Prune(m.now)
 	m.tables["b-2"].Prune(m.now)
 }
