--- /dev/null
+++ b/share/bench_test.go
@@ -0,0 +1,41 @@
+package share
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"github.com/bulrushferry/bulrushferry/clock"
+)
+
+func BenchmarkAdmit(b *testing.B) {
+	l := NewLedger(LedgerConfig{Term: modelTerm}, 0)
+	l.SetBase(0, Part{Rate: 1e9, Burst: 1e9})
+	for i := range 6 {
+		l.Accept(0, 0, fmt.Sprint(i), Grant{ID: fmt.Sprint(i), Part: Part{Rate: 1, Burst: 1}})
+	}
+	now := clock.Millis(0)
+	for b.Loop() {
+		now++
+		l.Observe(now)
+		l.Admit(now)
+	}
+}
+
+func BenchmarkLedgerMemory(b *testing.B) {
+	const ledgers = 10_000
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	kept := make([]*Ledger, ledgers)
+	for i := range kept {
+		kept[i] = NewLedger(LedgerConfig{Term: modelTerm}, 0)
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/ledgers, "bytes/workspace")
+	for b.Loop() {
+		kept[0].Tokens(0)
+	}
+	runtime.KeepAlive(kept)
+}
