Cut one instance off with the table service, and the rest from it

Cause: the cut test let two broken variants pass, for it never left the only writer alone with the table service.

--- a/peer/cut_test.go
+++ b/peer/cut_test.go
@@ -106,7 +106,7 @@
 	defer n.mu.Unlock()
 	a := addresses[n.random.IntN(len(addresses))]
 	b := addresses[n.random.IntN(len(addresses))]
-	switch n.random.IntN(7) {
+	switch n.random.IntN(9) {
 	case 0:
 		n.cut[[2]string{a, b}] = true
 	case 1:
@@ -117,9 +117,13 @@
 	case 3:
 		n.storeUp = !n.storeUp
 	case 4:
+		n.isolate(a, addresses)
+		n.noStore[a] = true
+	case 5:
+		// One instance alone reaches the table service, the rest each other.
+		n.isolate(a, addresses)
 		for _, other := range addresses {
-			n.cut[[2]string{a, other}] = true
-			n.cut[[2]string{other, a}] = true
+			n.noStore[other] = other != a
 		}
 	default:
 		clear(n.cut)
@@ -128,6 +132,13 @@
 	}
 }
 
+func (n *cutNetwork) isolate(address string, addresses []string) {
+	for _, other := range addresses {
+		n.cut[[2]string{address, other}] = true
+		n.cut[[2]string{other, address}] = true
+	}
+}
+
 // TestCutsNeverLetOldStatesAct cuts links between instances and to the table
 // service at random while operators change the state. An instance with
 // authority has every change that was accepted a term ago, revisions never
