--- a/authority/bench_test.go
+++ b/authority/bench_test.go
@@ -40,10 +40,10 @@
 		RulesText: "workspace tiendas rate=400 burst=200 weight=4 # asked by Ana: shops of the capital\n",
 		Rules:     &wire.Rules{Workspaces: []*wire.WorkspaceRule{{Name: "tiendas", RatePerS: 400, Burst: 200, Weight: 4}}},
 	}
-	b.ReportMetric(float64(proto.Size(seat)), "bytes/slot")
-	b.ReportMetric(float64(proto.Size(key)), "bytes/key")
-	b.ReportMetric(float64(proto.Size(workspace)), "bytes/workspace")
 	for b.Loop() {
 		proto.Size(seat)
 	}
+	b.ReportMetric(float64(proto.Size(seat)), "bytes/slot")
+	b.ReportMetric(float64(proto.Size(key)), "bytes/key")
+	b.ReportMetric(float64(proto.Size(workspace)), "bytes/workspace")
 }
--- a/authority/view.go
+++ b/authority/view.go
@@ -4,6 +4,9 @@
 package authority
 
 import (
+	"math"
+	"slices"
+
 	"github.com/bulrushferry/bulrushferry/clock"
 	"github.com/bulrushferry/bulrushferry/values"
 	"github.com/bulrushferry/bulrushferry/wire"
@@ -29,6 +32,9 @@
 		confirmedAt values.Option[clock.Millis]
 		heard       map[string]heardPeer
 		gone        map[string]struct{}
+		// polledUntil is when the holders of more than half of the slots will
+		// no longer have been heard within the term.
+		polledUntil clock.Millis
 	}
 
 	// Answer is what a peer said to a poll.
@@ -89,6 +95,7 @@
 	if known {
 		v.heard[answer.Incarnation] = last
 	}
+	v.polledUntil = v.heardByMajorityUntil()
 	v.confirm(now)
 	return advanced
 }
@@ -100,6 +107,7 @@
 	}
 	v.state = state
 	v.learnedAt = now
+	v.polledUntil = v.heardByMajorityUntil()
 	v.confirmedAt = values.None[clock.Millis]()
 	v.forgetReplaced()
 	v.confirm(now)
@@ -119,7 +127,32 @@
 	if v.StoreFresh(now) {
 		return true
 	}
-	return majority(v.SlotsHeard(now), len(v.state.GetSeats()))
+	return now < v.polledUntil
+}
+
+// heardByMajorityUntil returns the time at which authority by polls ends.
+func (v *View) heardByMajorityUntil() clock.Millis {
+	seats := v.state.GetSeats()
+	if len(seats) == 0 {
+		return 0
+	}
+	ends := make([]clock.Millis, len(seats))
+	for i, seat := range seats {
+		ends[i] = v.heardUntil(seat.GetIncarnation())
+	}
+	slices.Sort(ends)
+	// The holders from this place on are the fewest that are more than half.
+	return ends[(len(ends)-1)/2]
+}
+
+func (v *View) heardUntil(incarnation string) clock.Millis {
+	if incarnation == v.config.Incarnation {
+		return math.MaxInt64
+	}
+	if peer, ok := v.heard[incarnation]; ok {
+		return peer.sentAt + v.config.Term
+	}
+	return 0
 }
 
 // SlotsHeard counts the slots whose holders were heard within the term.
--- a/caller/blocks_test.go
+++ b/caller/blocks_test.go
@@ -64,10 +64,10 @@
 	for i := range addresses {
 		addresses[i] = address(rand.Uint32())
 	}
-	b.ReportMetric(float64(table.Bytes())/sizedBlocks, "bytes/block")
 	i := 0
 	for b.Loop() {
 		table.Find(addresses[i&4095])
 		i++
 	}
+	b.ReportMetric(float64(table.Bytes())/sizedBlocks, "bytes/block")
 }
--- a/load/caller.go
+++ b/load/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -151,6 +152,12 @@
 	return out
 }
 
+// neverSent reports whether the connection could not be made.
+func (r reply) neverSent() bool {
+	var op *net.OpError
+	return errors.As(r.err, &op) && op.Op == "dial"
+}
+
 // matches reports whether an answer belongs to a request. The stand-in's
 // backend servers repeat the request's nonce.
 func (r reply) matches(nonce string) bool {
--- a/load/config.go
+++ b/load/config.go
@@ -4,6 +4,9 @@
 
 import (
 	"time"
+
+	"github.com/bulrushferry/bulrushferry/wire"
+	"github.com/valyala/fasthttp"
 )
 
 type (
@@ -53,3 +56,45 @@
 		ResendShare float64
 	}
 )
+
+const (
+	callerTimeout = 4 * time.Second
+	// onceWeight is the weight of a route that runs once, next to one of 1.
+	onceWeight = 0.15
+)
+
+// NewConfig returns a load of all workspaces at a share of their rates, over
+// all routes that need a key.
+func NewConfig(r *wire.Rules, keys map[string]string, share float64) Config {
+	config := Config{Timeout: callerTimeout}
+	for _, w := range r.GetWorkspaces() {
+		config.Workspaces = append(config.Workspaces, Workspace{
+			Name:        w.GetName(),
+			Key:         keys[w.GetName()],
+			RatePerS:    w.GetRatePerS(),
+			Burst:       w.GetBurst(),
+			OfferedPerS: share * w.GetRatePerS(),
+		})
+	}
+	for _, route := range r.GetRoutes() {
+		if !route.GetOpen() {
+			config.Targets = append(config.Targets, newTarget(route))
+		}
+	}
+	return config
+}
+
+func newTarget(route *wire.RouteRule) Target {
+	target := Target{
+		Service: route.GetService(),
+		Path:    route.GetPrefix() + "/1",
+		Method:  fasthttp.MethodGet,
+		Weight:  1,
+	}
+	if route.GetMode() == wire.RouteMode_ROUTE_MODE_ONCE {
+		target.Once = true
+		target.Method = fasthttp.MethodPost
+		target.Weight = onceWeight
+	}
+	return target
+}
--- a/load/run.go
+++ b/load/run.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/valyala/fasthttp"
+	"github.com/bulrushferry/bulrushferry/wire"
 )
 
 // runner is one run of a load.
@@ -109,10 +109,8 @@
 
 func (r *runner) attempts(w Workspace, t Target, c *callers, nonce string, resend bool) reply {
 	list := c.lookup(w, t.Service)
-	action := ""
-	if t.Once {
-		action = list.GetActionPrefix() + nonce
-	}
+	action := actionName(t, list, nonce)
+	neverSent := true
 	var last reply
 	for try, entry := range list.GetEntries() {
 		if try >= maxTries {
@@ -122,6 +120,11 @@
 		if last.err != nil {
 			c.forget(w, t.Service)
 		}
+		neverSent = neverSent && last.neverSent()
+		if neverSent {
+			// Nothing was sent under this name, so another one is safe.
+			action = actionName(t, c.ask(w, t.Service, list), nonce)
+		}
 		if !mayTryElsewhere(t, last) {
 			break
 		}
@@ -136,6 +139,14 @@
 	return last
 }
 
+// actionName starts a name with the prefix of a look-up.
+func actionName(t Target, list *wire.EntryList, nonce string) string {
+	if !t.Once {
+		return ""
+	}
+	return list.GetActionPrefix() + nonce
+}
+
 // mayTryElsewhere reports whether a caller would turn to another instance. A
 // request that may run once is sent again under the same name.
 func mayTryElsewhere(t Target, last reply) bool {
@@ -144,11 +155,3 @@
 	}
 	return last.outcome == outcomeNotRun && (last.code == "no_authority" || last.code == "no_capacity")
 }
-
-// MethodOf returns the method that suits a target.
-func MethodOf(once bool) string {
-	if once {
-		return fasthttp.MethodPost
-	}
-	return fasthttp.MethodGet
-}
--- a/once/bench_test.go
+++ b/once/bench_test.go
@@ -32,8 +32,8 @@
 	}
 	runtime.GC()
 	runtime.ReadMemStats(&after)
-	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/actions, "bytes/action")
 	for b.Loop() {
 		table.Len()
 	}
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/actions, "bytes/action")
 }
--- a/share/bench_test.go
+++ b/share/bench_test.go
@@ -33,9 +33,9 @@
 	}
 	runtime.GC()
 	runtime.ReadMemStats(&after)
-	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/ledgers, "bytes/workspace")
 	for b.Loop() {
 		kept[0].Tokens(0)
 	}
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/ledgers, "bytes/workspace")
 	runtime.KeepAlive(kept)
 }
