Let operators name dead instances, and lose four of seven at once

Cause: the rule for instances known to be gone was in the view, but no command reached it, so after the loss of more than half of the instances no withdrawal could be accepted before they were replaced.

--- a/command/cmd_keys_withdraw.go
+++ b/command/cmd_keys_withdraw.go
@@ -14,7 +14,8 @@
 type keysWithdrawOptions struct {
 	env *Env
 	remote
-	Who  string `long:"who" env:"USER" default:"unknown" description:"who withdraws the key"`
+	Who  string   `long:"who" env:"USER" default:"unknown" description:"who withdraws the key"`
+	Dead []string `long:"dead" value-name:"INSTANCE" description:"instance known to run no longer; may be repeated"`
 	Args struct {
 		ID string `positional-arg-name:"ID" required:"yes"`
 	} `positional-args:"yes"`
@@ -27,7 +28,8 @@
 		return err
 	}
 	return sendChange(o.env, client, &wire.ChangeRequest{
-		Who:    o.Who,
-		Change: &wire.ChangeRequest_WithdrawKeyId{WithdrawKeyId: o.Args.ID},
+		Who:           o.Who,
+		DeadInstances: o.Dead,
+		Change:        &wire.ChangeRequest_WithdrawKeyId{WithdrawKeyId: o.Args.ID},
 	})
 }
--- a/command/cmd_rules_apply.go
+++ b/command/cmd_rules_apply.go
@@ -14,8 +14,9 @@
 type rulesApplyOptions struct {
 	env *Env
 	remote
-	Who      string `long:"who" env:"USER" default:"unknown" description:"who applies the rules"`
-	Revision int64  `long:"revision" description:"rules revision that the file was made from; by default the one in force"`
+	Who      string   `long:"who" env:"USER" default:"unknown" description:"who applies the rules"`
+	Dead     []string `long:"dead" value-name:"INSTANCE" description:"instance known to run no longer; may be repeated"`
+	Revision int64    `long:"revision" description:"rules revision that the file was made from; by default the one in force"`
 	fileArgument
 }
 
@@ -39,6 +40,7 @@
 	}
 	return sendChange(o.env, client, &wire.ChangeRequest{
 		Who:                   o.Who,
+		DeadInstances:         o.Dead,
 		ExpectedRulesRevision: revision,
 		Change:                &wire.ChangeRequest_RulesText{RulesText: text},
 	})
--- a/peer/operate.go
+++ b/peer/operate.go
@@ -21,6 +21,7 @@
 	if request.GetId() == "" {
 		return &wire.ChangeResult{Error: "the change has no id"}
 	}
+	f.declareGone(request.GetDeadInstances())
 	switch change := request.GetChange().(type) {
 	case *wire.ChangeRequest_RulesText:
 		return f.applyRules(ctx, request, change.RulesText)
@@ -33,6 +34,17 @@
 	}
 }
 
+// declareGone takes an operator's word that processes run no longer, so that
+// changes need not wait for them.
+func (f *Fleet) declareGone(instances []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, instance := range instances {
+		f.config.Log.Warn("operator says that an instance runs no longer", "dead", instance)
+		f.view.DeclareGone(f.config.Clock.Now(), instance)
+	}
+}
+
 func (f *Fleet) applyRules(ctx context.Context, request *wire.ChangeRequest, text string) *wire.ChangeResult {
 	parsed, faults := rules.Parse([]byte(text))
 	if len(faults) > 0 {
--- a/scenario/change_test.go
+++ b/scenario/change_test.go
@@ -140,6 +140,31 @@
 	}
 }
 
+// TestMostInstancesLost kills four of seven instances at once. A withdrawal is
+// not accepted, and names them, until the operator says that they are dead.
+func TestMostInstancesLost(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, "villacres")
+	args := []string{"keys", "withdraw", "feria-1"}
+	for _, name := range []string{"sierra-1", "sierra-2", "costa-1", "austro-1"} {
+		f.kill(name)
+		args = append(args, "--dead", name)
+	}
+	time.Sleep(3 * time.Second)
+	out, code := f.try("bulrushferry", args[:3]...)
+	if code != 1 || !strings.Contains(out, "austro-1, costa-1, sierra-1, sierra-2") {
+		t.Errorf("without a word on the dead: exit code %d, %s", code, out)
+	}
+	if _, status, _ := f.call("sierra-3", "GET", "/v1/s/probador/fittings/1", f.keys["tiendas"], "", ""); status != 200 {
+		t.Errorf("a survivor that reads the table service answers %d", status)
+	}
+	f.command("bulrushferry", args...)
+	if _, status, _ := f.call("sierra-3", "GET", "/v1/s/probador/fittings/1", f.keys["feria"], "", ""); status != 401 {
+		t.Errorf("the withdrawn key got %d", status)
+	}
+	f.waitSettled(3)
+}
+
 // TestFreshInstanceDuringOutage replaces an instance while the store is down.
 // The new process learns the state from its peers and serves.
 func TestFreshInstanceDuringOutage(t *testing.T) {
