Check a passed on request after it has waited for the link, and refuse in one place

Cause: reading the whole change again. The last check of the authority and the key stood before the wait for the link to another region, which may take as long as the deadline, and the peer does not know the key; so a withdrawn key could have been used that late. Change: the check follows the wait; one function makes the refusal. A look-up that carries an Idempotency-Key is now refused as not_run, for it runs nothing; all other answers stay as they were. Conclusion: tidied; the hole is closed by reading, not by a test.

--- a/caller/action.go
+++ b/caller/action.go
@@ -49,7 +49,7 @@
 		return unknown(CodeActionUnknown, "the instance that claimed this action no longer knows it")
 	}
 	if !e.config.Fleet.HasAuthority() {
-		return unknown(CodeNoAuthority, "this instance has no recent word from the platform or from more than half of the fleet")
+		return noAuthority().WithUnknown()
 	}
 	ctx, cancel := context.WithTimeout(ctx, (job.Deadline - e.config.Clock.Now()).Duration())
 	defer cancel()
--- a/caller/executor.go
+++ b/caller/executor.go
@@ -57,7 +57,7 @@
 
 func (e *Executor) admitAndPlace(ctx context.Context, job Job) Answer {
 	if !e.config.Fleet.HasAuthority() {
-		return refuse(CodeNoAuthority, "this instance has no recent word from the platform or from more than half of the fleet")
+		return noAuthority()
 	}
 	if !job.Admitted && job.Workspace != "" && !e.config.Loans.Admit(ctx, job.Workspace) {
 		return refuse(CodeRate, "workspace "+job.Workspace+" is over its rate")
@@ -125,9 +125,6 @@
 // pass runs a job at a peer. When the peer cannot be reached nothing was run;
 // when its answer is lost the outcome is unknown.
 func (e *Executor) pass(ctx context.Context, job Job, member peer.Member) Answer {
-	if err := e.mayStillRun(job); err != nil {
-		return fromResult(backend.Result{Outcome: wire.Outcome_OUTCOME_NOT_RUN, Err: err})
-	}
 	now := e.config.Clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, (job.Deadline - now).Duration())
 	defer cancel()
@@ -136,6 +133,9 @@
 	if err := e.config.Links.Spend(ctx, member.Seat.GetRegion(), len(forward.GetRequest())); err != nil {
 		return refuse(CodeNoCapacity, err.Error())
 	}
+	if err := e.mayStillRun(job); err != nil {
+		return fromResult(backend.Result{Outcome: wire.Outcome_OUTCOME_NOT_RUN, Err: err})
+	}
 	response, err := e.config.Network.Call(ctx, member.Seat.GetPeerAddress(), &wire.PeerRequest{
 		Body: &wire.PeerRequest_Forward{Forward: forward},
 	})
--- a/caller/server.go
+++ b/caller/server.go
@@ -116,7 +116,7 @@
 	state := s.config.Fleet.State()
 	service := string(ctx.QueryArgs().Peek("service"))
 	if !s.config.Fleet.HasAuthority() || state.GetRulesRevision() == 0 {
-		s.finish(ctx, s.newID(), noAuthority(&ctx.Request))
+		s.finish(ctx, s.newID(), noAuthority())
 		return
 	}
 	if rules.Service(state.GetRules(), service) == nil {
@@ -179,7 +179,7 @@
 func (s *Server) check(ctx *fasthttp.RequestCtx, id string, now clock.Millis) (Job, Answer, bool) {
 	state := s.config.Fleet.State()
 	if !s.config.Fleet.HasAuthority() || state.GetRulesRevision() == 0 {
-		return Job{}, noAuthority(&ctx.Request), false
+		return Job{}, noAuthority(), false
 	}
 	if answer, ok := checkForm(&ctx.Request); !ok {
 		return Job{}, answer, false
@@ -215,14 +215,9 @@
 	return job, Answer{}, true
 }
 
-// noAuthority refuses a request before anything about it is known. One that has
-// a name may have run in an earlier attempt.
-func noAuthority(request *fasthttp.Request) Answer {
-	answer := refuse(CodeNoAuthority, "this instance has no recent word from the platform or from more than half of the fleet")
-	if _, count := actionOf(request); count > 0 {
-		return answer.WithUnknown()
-	}
-	return answer
+// noAuthority refuses a request before anything about it is known.
+func noAuthority() Answer {
+	return refuse(CodeNoAuthority, "this instance has no recent word from the platform or from more than half of the fleet")
 }
 
 // afterAction weakens the refusal of a request that may run once: an earlier
