--- /dev/null
+++ b/command/cmd_steer.go
@@ -0,0 +1,41 @@
+package command
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/bulrushferry/bulrushferry/platform"
+	"github.com/bulrushferry/bulrushferry/steering"
+	"github.com/jessevdk/go-flags"
+)
+
+var cmdSteer = &Command{
+	Path:  []string{"steer"},
+	Short: "Run an entry instance whose configuration the platform keeps",
+	New:   func(env *Env) flags.Commander { return &steerOptions{env: env} },
+}
+
+type steerOptions struct {
+	env  *Env
+	Node string `long:"node" value-name:"FILE" description:"the platform's settings file; by default the file that the environment names"`
+}
+
+// Execute runs the instance until it is told to stop.
+func (o *steerOptions) Execute([]string) error {
+	path := o.Node
+	if path == "" {
+		path = os.Getenv(platform.NodeFileVariable)
+	}
+	adapter, err := platform.LoadNode(path)
+	if err != nil {
+		return errUsage.Wrap(err, "starting the instance")
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := steering.Run(ctx, adapter, o.env.Stdout); err != nil {
+		return errFailed.Wrap(err, "running the instance")
+	}
+	return nil
+}
--- a/command/command.go
+++ b/command/command.go
@@ -49,6 +49,7 @@
 	// commands are all the commands, in the order of the help text.
 	commands = []*Command{
 		cmdEntry,
+		cmdSteer,
 		cmdRulesCheck,
 		cmdRulesDiff,
 		cmdRulesApply,
--- a/entry/wiring.go
+++ b/entry/wiring.go
@@ -19,8 +19,8 @@
 	"github.com/bulrushferry/bulrushferry/once"
 	"github.com/bulrushferry/bulrushferry/operator"
 	"github.com/bulrushferry/bulrushferry/peer"
-	"github.com/bulrushferry/bulrushferry/platform"
 	"github.com/bulrushferry/bulrushferry/rules"
+	"github.com/bulrushferry/bulrushferry/tableservice"
 	"github.com/bulrushferry/bulrushferry/wire"
 	"github.com/hashicorp/go-hclog"
 	"github.com/rcrowley/go-metrics"
@@ -45,7 +45,7 @@
 		Executor  *caller.Executor
 		Pool      *backend.Pool
 		Actions   *once.Table
-		Platform  *platform.Client
+		Platform  *tableservice.Client
 		Callers   *caller.Server
 		Operators *operator.Server
 		Metrics   metrics.Registry
@@ -103,8 +103,8 @@
 	return log.With("instance", settings.GetInstance())
 }
 
-func newPlatform(settings *wire.EntrySettings) *platform.Client {
-	return platform.NewClient(platform.ClientConfig{
+func newPlatform(settings *wire.EntrySettings) *tableservice.Client {
+	return tableservice.NewClient(tableservice.ClientConfig{
 		Address: settings.GetPlatform().GetAddress(),
 		Timeout: settings.GetPlatform().GetTimeout().AsDuration(),
 		Caller:  settings.GetInstance(),
@@ -142,7 +142,7 @@
 	return instance + "-" + hex.EncodeToString(raw), nil
 }
 
-func newFleet(settings *wire.EntrySettings, c clock.Clock, table *platform.Client, network *peer.Transport, log hclog.Logger) (*peer.Fleet, error) {
+func newFleet(settings *wire.EntrySettings, c clock.Clock, table *tableservice.Client, network *peer.Transport, log hclog.Logger) (*peer.Fleet, error) {
 	incarnation, err := newIncarnation(settings.GetInstance())
 	if err != nil {
 		return nil, err
@@ -247,7 +247,7 @@
 	})
 }
 
-func newClaimer(fleet *peer.Fleet, table *platform.Client) *once.Claimer {
+func newClaimer(fleet *peer.Fleet, table *tableservice.Client) *once.Claimer {
 	return once.NewClaimer(once.ClaimerConfig{Table: table, Incarnation: fleet.Incarnation()})
 }
 
--- /dev/null
+++ b/fleet/gossip.go
@@ -0,0 +1,191 @@
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/bulrushferry/bulrushferry/clock"
+	"github.com/bulrushferry/bulrushferry/peer"
+	"github.com/bulrushferry/bulrushferry/wire"
+	"github.com/hashicorp/go-hclog"
+)
+
+type (
+	// GossipConfig configures a Gossip.
+	GossipConfig struct {
+		Clock   clock.Clock
+		Log     hclog.Logger
+		Network peer.Network
+		Members *Members
+		Tables  []*Replica
+		// Crashing lists the fingerprints of requests that crash backend servers.
+		Crashing func() [][]byte
+		// Quarantine takes in a peer's word on such a request.
+		Quarantine func(fingerprint []byte)
+	}
+
+	// Gossip exchanges news and heartbeats with peers: each round asks a few of
+	// them for what they know and this instance does not.
+	Gossip struct {
+		config GossipConfig
+		// soon asks for a round at once.
+		soon chan struct{}
+
+		mu      sync.Mutex
+		trouble map[string]bool
+	}
+)
+
+const (
+	gossipInterval = 500 * time.Millisecond
+	gossipTimeout  = 450 * time.Millisecond
+	// gossipFanOut is how many running peers are asked a round.
+	gossipFanOut = 6
+)
+
+// NewGossip returns a gossip that has not begun.
+func NewGossip(config GossipConfig) *Gossip {
+	return &Gossip{config: config, soon: make(chan struct{}, 1), trouble: make(map[string]bool)}
+}
+
+// Run exchanges news until the context ends.
+func (g *Gossip) Run(ctx context.Context) {
+	ticker := time.NewTicker(gossipInterval)
+	defer ticker.Stop()
+	for {
+		g.round(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-g.soon:
+		}
+	}
+}
+
+// Soon makes the next round come at once.
+func (g *Gossip) Soon() {
+	select {
+	case g.soon <- struct{}{}:
+	default:
+	}
+}
+
+// round asks a few running peers, and one that has been silent.
+func (g *Gossip) round(ctx context.Context) {
+	now := g.config.Clock.Now()
+	alive := g.config.Members.Alive(now)
+	rand.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
+	asked := alive[:min(len(alive), gossipFanOut)]
+	if silent := g.silent(alive); len(silent) > 0 {
+		asked = append(asked[:len(asked):len(asked)], silent[rand.IntN(len(silent))])
+		if len(alive) == 0 {
+			asked = silent[:min(len(silent), gossipFanOut)]
+		}
+	}
+	for _, member := range asked {
+		go g.Ask(ctx, member.GetPeerAddress())
+	}
+}
+
+func (g *Gossip) silent(alive []*wire.FleetInstance) []*wire.FleetInstance {
+	running := make(map[string]struct{}, len(alive))
+	for _, member := range alive {
+		running[member.GetInstance()] = struct{}{}
+	}
+	var out []*wire.FleetInstance
+	for _, member := range g.config.Members.Known() {
+		if _, ok := running[member.GetInstance()]; !ok {
+			out = append(out, member)
+		}
+	}
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out
+}
+
+// Ask exchanges news with the peer at an address and reports whether it answered.
+func (g *Gossip) Ask(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, gossipTimeout)
+	defer cancel()
+	askedAt := g.config.Clock.Now()
+	response, err := g.config.Network.Call(ctx, address, &wire.PeerRequest{
+		Body: &wire.PeerRequest_Gossip{Gossip: &wire.Gossip{Sender: g.config.Members.Self(), Tables: g.digests()}},
+	})
+	g.note(address, err)
+	if err != nil {
+		return false
+	}
+	g.takeIn(response.GetGossip(), askedAt)
+	return true
+}
+
+// note logs a peer that stops or begins to answer.
+func (g *Gossip) note(address string, err error) {
+	g.mu.Lock()
+	was := g.trouble[address]
+	g.trouble[address] = err != nil
+	g.mu.Unlock()
+	switch {
+	case err != nil && !was:
+		g.config.Log.Warn("peer does not answer", "peer", address, "error", err.Error())
+	case err == nil && was:
+		g.config.Log.Info("peer answers again", "peer", address)
+	}
+}
+
+func (g *Gossip) digests() []*wire.TableDigest {
+	out := make([]*wire.TableDigest, 0, len(g.config.Tables))
+	for _, table := range g.config.Tables {
+		out = append(out, &wire.TableDigest{Table: table.Name(), Version: table.Version()})
+	}
+	return out
+}
+
+func (g *Gossip) takeIn(answer *wire.GossipAnswer, askedAt clock.Millis) {
+	g.config.Members.Heard(answer.GetSender(), askedAt)
+	for _, info := range answer.GetMembers() {
+		g.config.Members.HeardOf(info, askedAt)
+	}
+	for _, delta := range answer.GetTables() {
+		if table := g.table(delta.GetTable()); table != nil {
+			table.Apply(delta, askedAt-clock.Millis(delta.GetAgeMs()))
+		}
+	}
+	for _, fingerprint := range answer.GetCrashing() {
+		g.config.Quarantine(fingerprint)
+	}
+}
+
+func (g *Gossip) table(name string) *Replica {
+	for _, table := range g.config.Tables {
+		if table.Name() == name {
+			return table
+		}
+	}
+	return nil
+}
+
+// Handle answers a peer's gossip. A peer that knows more is asked in turn.
+func (g *Gossip) Handle(ctx context.Context, asked *wire.Gossip) *wire.GossipAnswer {
+	now := g.config.Clock.Now()
+	g.config.Members.Heard(asked.GetSender(), now)
+	answer := &wire.GossipAnswer{Sender: g.config.Members.Self(), Members: g.config.Members.Report(now)}
+	ahead := false
+	for _, digest := range asked.GetTables() {
+		table := g.table(digest.GetTable())
+		if table == nil {
+			continue
+		}
+		if delta := table.Since(digest.GetVersion(), now); delta != nil {
+			answer.Tables = append(answer.Tables, delta)
+		}
+		ahead = ahead || digest.GetVersion() > table.Version()
+	}
+	if ahead {
+		go g.Ask(context.WithoutCancel(ctx), asked.GetSender().GetPeerAddress())
+	}
+	answer.Crashing = g.config.Crashing()
+	return answer
+}
--- /dev/null
+++ b/fleet/members.go
@@ -0,0 +1,147 @@
+package fleet
+
+import (
+	"sort"
+	"sync"
+
+	"github.com/bulrushferry/bulrushferry/clock"
+	"github.com/bulrushferry/bulrushferry/wire"
+	"google.golang.org/protobuf/proto"
+)
+
+type (
+	// Members is what this instance knows of the others. It is safe for
+	// concurrent use.
+	Members struct {
+		mu   sync.Mutex
+		self *wire.FleetInstance
+		// others holds one entry an instance, by its name.
+		others map[string]*member
+	}
+
+	member struct {
+		info *wire.FleetInstance
+		// heardAt is when the instance itself last spoke, here or to a peer.
+		heardAt clock.Millis
+	}
+)
+
+const (
+	// aliveFor is how long an instance counts as running after it was heard.
+	aliveFor = 1800 * clock.Millis(1)
+	// sharesFor is how long a silent instance keeps its part of the limits. It
+	// stops serving by itself before that.
+	sharesFor = 6 * clock.Second
+	// rememberedFor is how long a silent instance counts in the majority.
+	rememberedFor = 60 * clock.Second
+)
+
+// NewMembers returns the members known to a fresh process: itself.
+func NewMembers(self *wire.FleetInstance) *Members {
+	return &Members{self: self, others: make(map[string]*member)}
+}
+
+// Self returns this instance's own entry.
+func (m *Members) Self() *wire.FleetInstance {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return proto.CloneOf(m.self)
+}
+
+// SetSelf changes this instance's own state.
+func (m *Members) SetSelf(ready, stopping bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.self = proto.CloneOf(m.self)
+	m.self.Ready = ready
+	m.self.Stopping = stopping
+}
+
+// Heard takes in an entry that was true at a moment.
+func (m *Members) Heard(info *wire.FleetInstance, at clock.Millis) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if info.GetInstance() == "" || info.GetInstance() == m.self.GetInstance() {
+		return
+	}
+	old, ok := m.others[info.GetInstance()]
+	if !ok || at > old.heardAt {
+		m.others[info.GetInstance()] = &member{info: info, heardAt: at}
+	}
+}
+
+// Alive returns the other instances that run.
+func (m *Members) Alive(now clock.Millis) []*wire.FleetInstance {
+	return m.within(now, aliveFor)
+}
+
+// Sharing returns the names of the instances that may be spending their part
+// of the limits, this one among them.
+func (m *Members) Sharing(now clock.Millis) []string {
+	names := []string{m.self.GetInstance()}
+	for _, info := range m.within(now, sharesFor) {
+		names = append(names, info.GetInstance())
+	}
+	sort.Strings(names)
+	return names
+}
+
+// Known returns all other instances that were ever heard of.
+func (m *Members) Known() []*wire.FleetInstance {
+	return m.within(0, -1)
+}
+
+func (m *Members) within(now, span clock.Millis) []*wire.FleetInstance {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make([]*wire.FleetInstance, 0, len(m.others))
+	for _, other := range m.others {
+		if span < 0 || now-other.heardAt < span {
+			out = append(out, other.info)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].GetInstance() < out[j].GetInstance() })
+	return out
+}
+
+// InMajority reports whether this instance hears at least half of the fleet,
+// itself counted; instances that stopped by plan do not count.
+func (m *Members) InMajority(now clock.Millis) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	heard, all := 1, 1
+	for _, other := range m.others {
+		age := now - other.heardAt
+		if age >= rememberedFor || (other.info.GetStopping() && age >= aliveFor) {
+			continue
+		}
+		all++
+		if age < aliveFor {
+			heard++
+		}
+	}
+	return 2*heard >= all
+}
+
+// Report lists the members with their ages for a peer.
+func (m *Members) Report(now clock.Millis) []*wire.FleetInstance {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make([]*wire.FleetInstance, 0, len(m.others))
+	for _, other := range m.others {
+		age := now - other.heardAt
+		if age >= rememberedFor {
+			continue
+		}
+		info := proto.CloneOf(other.info)
+		info.HeardAgeMs = int64(age)
+		out = append(out, info)
+	}
+	return out
+}
+
+// HeardOf takes in what a peer reports of a third instance. Age is counted from
+// when the peer was asked.
+func (m *Members) HeardOf(info *wire.FleetInstance, askedAt clock.Millis) {
+	m.Heard(info, askedAt-clock.Millis(info.GetHeardAgeMs()))
+}
--- /dev/null
+++ b/fleet/replica.go
@@ -0,0 +1,172 @@
+// Package fleet keeps what the entry instances of a deployment share: the
+// tables that the platform keeps for them, and who is running. News comes from
+// the platform's feed and from peers; every fact carries its age.
+package fleet
+
+import (
+	"sort"
+	"sync"
+
+	"github.com/bulrushferry/bulrushferry/clock"
+	"github.com/bulrushferry/bulrushferry/wire"
+)
+
+// Replica is this instance's copy of one table of the platform. Its version
+// only grows. It is safe for concurrent use.
+type Replica struct {
+	name    string
+	changed func()
+
+	mu   sync.Mutex
+	rows map[string]*wire.TableRow
+	// log holds the newest changes in the order of their versions; it covers
+	// everything after floor.
+	log     []*wire.TableRow
+	floor   int64
+	version int64
+	asOf    clock.Millis
+	known   bool
+}
+
+// maxLog bounds the changes kept for peers that lag a little.
+const maxLog = 512
+
+// NewReplica returns an empty copy of a table. Changed is called after each
+// change, without any lock held.
+func NewReplica(name string, changed func()) *Replica {
+	return &Replica{name: name, rows: make(map[string]*wire.TableRow), changed: changed}
+}
+
+// Name returns the table's name.
+func (r *Replica) Name() string {
+	return r.name
+}
+
+// Version returns the version through which the table is known; zero means
+// that nothing is known.
+func (r *Replica) Version() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.version
+}
+
+// AsOf returns the moment for which the platform confirmed the table, and
+// whether the table is known at all.
+func (r *Replica) AsOf() (clock.Millis, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.asOf, r.known
+}
+
+// Apply takes in changes that were in force at a moment. It reports whether
+// they fitted; if not, the whole table is needed.
+func (r *Replica) Apply(delta *wire.TableDelta, at clock.Millis) bool {
+	changed, fitted := r.apply(delta, at)
+	if changed {
+		r.changed()
+	}
+	return fitted
+}
+
+func (r *Replica) apply(delta *wire.TableDelta, at clock.Millis) (changed, fitted bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !delta.GetFull() && (!r.known || delta.GetSince() > r.version) {
+		return false, false
+	}
+	if delta.GetVersion() < r.version {
+		return false, true
+	}
+	changed = !r.known
+	rows := delta.GetRows()
+	if delta.GetFull() {
+		rows = append(r.missing(delta), rows...)
+	}
+	changed = r.merge(rows) || changed
+	r.version = delta.GetVersion()
+	r.asOf = max(r.asOf, at)
+	r.known = true
+	return changed, true
+}
+
+// missing returns the removal of each row that a whole table does not hold.
+func (r *Replica) missing(delta *wire.TableDelta) []*wire.TableRow {
+	present := make(map[string]struct{}, len(delta.GetRows()))
+	for _, row := range delta.GetRows() {
+		present[row.GetKey()] = struct{}{}
+	}
+	var removals []*wire.TableRow
+	for key, row := range r.rows {
+		if _, ok := present[key]; !ok && row.GetVersion() < delta.GetVersion() {
+			removals = append(removals, &wire.TableRow{Key: key, Version: delta.GetVersion(), Removed: true})
+		}
+	}
+	return removals
+}
+
+// merge takes in changed rows, older ones first, and reports news.
+func (r *Replica) merge(rows []*wire.TableRow) bool {
+	rows = append([]*wire.TableRow(nil), rows...)
+	sort.SliceStable(rows, func(i, j int) bool { return rows[i].GetVersion() < rows[j].GetVersion() })
+	changed := false
+	for _, row := range rows {
+		old, ok := r.rows[row.GetKey()]
+		if (ok && old.GetVersion() >= row.GetVersion()) || (!ok && row.GetRemoved()) {
+			continue
+		}
+		if row.GetRemoved() {
+			delete(r.rows, row.GetKey())
+		} else {
+			r.rows[row.GetKey()] = row
+		}
+		r.log = append(r.log, row)
+		changed = true
+	}
+	r.trimLog()
+	return changed
+}
+
+func (r *Replica) trimLog() {
+	extra := len(r.log) - maxLog
+	if extra <= 0 {
+		return
+	}
+	r.floor = r.log[extra-1].GetVersion()
+	r.log = append([]*wire.TableRow(nil), r.log[extra:]...)
+}
+
+// Since returns the changes after a version that a peer has, or nothing where
+// the peer knows more.
+func (r *Replica) Since(version int64, now clock.Millis) *wire.TableDelta {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.known || version > r.version {
+		return nil
+	}
+	delta := &wire.TableDelta{Table: r.name, Since: version, Version: r.version, AgeMs: int64(now - r.asOf)}
+	if version < r.floor || version == 0 {
+		delta.Full = true
+		for _, row := range r.rows {
+			delta.Rows = append(delta.Rows, row)
+		}
+		return delta
+	}
+	for _, row := range r.log {
+		if row.GetVersion() > version {
+			delta.Rows = append(delta.Rows, row)
+		}
+	}
+	return delta
+}
+
+// Rows returns the table's rows in the order of their keys.
+func (r *Replica) Rows() []*wire.TableRow {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	rows := make([]*wire.TableRow, 0, len(r.rows))
+	for _, row := range r.rows {
+		rows = append(rows, row)
+	}
+	sort.Slice(rows, func(i, j int) bool { return rows[i].GetKey() < rows[j].GetKey() })
+	return rows
+}
--- /dev/null
+++ b/gateway/server.go
@@ -0,0 +1,216 @@
+// Package gateway serves callers over HTTP/1.1: it reads requests, keeps the
+// order of answers, and notices at once when a caller leaves.
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/bulrushferry/bulrushferry/clock"
+	"github.com/bulrushferry/bulrushferry/routing"
+	"github.com/hashicorp/go-hclog"
+	"github.com/joomcode/errorx"
+	"github.com/valyala/fasthttp"
+)
+
+type (
+	// Handler answers requests. The context ends when the caller leaves.
+	Handler interface {
+		Serve(ctx context.Context, x *Exchange)
+	}
+
+	// ServerConfig configures a Server.
+	ServerConfig struct {
+		Handler Handler
+		Log     hclog.Logger
+		// Limits returns what callers may send at present.
+		Limits func() routing.Limits
+	}
+
+	// Server serves callers' connections.
+	Server struct {
+		config   ServerConfig
+		retiring atomic.Bool
+
+		mu      sync.Mutex
+		conns   map[*conn]struct{}
+		running sync.WaitGroup
+	}
+)
+
+const (
+	defaultHeaderBytes   = 16 << 10
+	defaultBodyBytes     = 16 << 20
+	defaultHeaderTimeout = 3 * clock.Second
+	defaultIdleTimeout   = 30 * clock.Second
+	// acceptPause is the pause after a failed accept.
+	acceptPause = 10 * time.Millisecond
+)
+
+var (
+	errorSpace = errorx.NewNamespace("gateway")
+
+	errFraming = errorSpace.NewType("framing")
+
+	contentType     = []byte(fasthttp.HeaderContentType)
+	connectionNames = [][]byte{
+		[]byte(fasthttp.HeaderConnection),
+		[]byte(fasthttp.HeaderContentLength),
+		[]byte(fasthttp.HeaderKeepAlive),
+		[]byte(fasthttp.HeaderTransferEncoding),
+		[]byte(fasthttp.HeaderTrailer),
+		[]byte(fasthttp.HeaderUpgrade),
+	}
+)
+
+// NewServer returns a server.
+func NewServer(config ServerConfig) *Server {
+	return &Server{config: config, conns: make(map[*conn]struct{})}
+}
+
+// Serve takes connections until the listener is closed.
+func (s *Server) Serve(listener net.Listener) error {
+	for {
+		raw, err := listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			s.config.Log.Warn("accepting a caller's connection failed", "error", err.Error())
+			time.Sleep(acceptPause)
+			continue
+		}
+		c := newConn(s, raw)
+		s.add(c)
+		go func() {
+			defer s.remove(c)
+			c.run()
+		}()
+	}
+}
+
+func (s *Server) serve(ctx context.Context, x *Exchange) {
+	s.running.Add(1)
+	defer s.running.Done()
+	s.config.Handler.Serve(ctx, x)
+	x.conn.complete(x)
+}
+
+func (s *Server) add(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[c] = struct{}{}
+}
+
+func (s *Server) remove(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+}
+
+// Retire makes each further answer end its connection.
+func (s *Server) Retire() {
+	s.retiring.Store(true)
+}
+
+// Shutdown closes idle connections and waits for running requests.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.Retire()
+	s.mu.Lock()
+	for c := range s.conns {
+		if c.isIdle() {
+			_ = c.SetReadDeadline(time.Now())
+		}
+	}
+	s.mu.Unlock()
+	done := make(chan struct{})
+	go func() {
+		s.running.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// limits returns the limits in force, with defaults where there are none.
+func (s *Server) limits() routing.Limits {
+	l := s.config.Limits()
+	if l.MaxHeaderBytes <= 0 {
+		l.MaxHeaderBytes = defaultHeaderBytes
+	}
+	if l.MaxBodyBytes <= 0 {
+		l.MaxBodyBytes = defaultBodyBytes
+	}
+	if l.HeaderTimeout <= 0 {
+		l.HeaderTimeout = defaultHeaderTimeout
+	}
+	if l.IdleTimeout <= 0 {
+		l.IdleTimeout = defaultIdleTimeout
+	}
+	return l
+}
+
+// SetRefusal makes an answer of the instance's own.
+func SetRefusal(response *fasthttp.Response, status int, message string) {
+	response.Reset()
+	response.SetStatusCode(status)
+	response.Header.SetContentType("application/json")
+	response.SetBodyString(`{"error":` + strconv.Quote(message) + `}`)
+}
+
+// SetRetryAfter tells the caller when to come back.
+func SetRetryAfter(response *fasthttp.Response, after clock.Millis) {
+	response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+}
+
+// checkFraming refuses a head from which the length of the body is not plain.
+func checkFraming(header *fasthttp.RequestHeader) error {
+	raw := bytes.ToLower(header.RawHeaders())
+	lengths := countField(raw, "content-length:")
+	encodings := countField(raw, "transfer-encoding:")
+	if lengths > 1 || encodings > 1 || (lengths > 0 && encodings > 0) {
+		return errFraming.New("the head has %d lengths and %d transfer encodings", lengths, encodings)
+	}
+	if countField(raw, "host:") != 1 {
+		return errFraming.New("the head does not name one host")
+	}
+	return nil
+}
+
+// countField counts the fields of a name in a head in small letters.
+func countField(raw []byte, name string) int {
+	count := bytes.Count(raw, []byte("\n"+name))
+	if bytes.HasPrefix(raw, []byte(name)) {
+		count++
+	}
+	return count
+}
+
+func isConnectionField(key []byte) bool {
+	for _, name := range connectionNames {
+		if bytes.Equal(key, name) {
+			return true
+		}
+	}
+	return false
+}
+
+// isGone reports whether the caller has closed or reset the connection.
+func isGone(err error) bool {
+	var nothing fasthttp.ErrNothingRead
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) ||
+		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ETIMEDOUT) ||
+		errors.As(err, &nothing)
+}
--- a/once/claim.go
+++ b/once/claim.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"github.com/bulrushferry/bulrushferry/platform"
+	"github.com/bulrushferry/bulrushferry/tableservice"
 	"github.com/bulrushferry/bulrushferry/wire"
 	"github.com/joomcode/errorx"
 )
@@ -11,7 +11,7 @@
 type (
 	// ClaimerConfig configures a Claimer.
 	ClaimerConfig struct {
-		Table       platform.Table
+		Table       tableservice.Table
 		Incarnation string
 	}
 
@@ -58,10 +58,10 @@
 	if err == nil && committed {
 		return Claim{Holder: c.config.Incarnation, New: true}, nil
 	}
-	if errorx.IsOfType(err, platform.ErrUnavailable) {
+	if errorx.IsOfType(err, tableservice.ErrUnavailable) {
 		return Claim{}, ErrNotClaimed.Wrap(err, "claiming action %s", request.Action)
 	}
-	row, readErr := platform.ReadRow(ctx, c.config.Table, rowKey)
+	row, readErr := tableservice.ReadRow(ctx, c.config.Table, rowKey)
 	if readErr != nil {
 		return Claim{}, ErrUnresolved.Wrap(readErr, "reading back the claim of action %s", request.Action)
 	}
--- a/once/table_test.go
+++ b/once/table_test.go
@@ -7,7 +7,7 @@
 	"testing"
 
 	"github.com/bulrushferry/bulrushferry/clock"
-	"github.com/bulrushferry/bulrushferry/platform"
+	"github.com/bulrushferry/bulrushferry/tableservice"
 	"github.com/bulrushferry/bulrushferry/wire"
 	"pgregory.net/rapid"
 )
@@ -123,7 +123,7 @@
 
 // faultyTable loses answers or refuses calls.
 type faultyTable struct {
-	platform.Table
+	tableservice.Table
 	loseCommit bool
 	downCommit bool
 	downRead   bool
@@ -131,18 +131,18 @@
 
 func (f *faultyTable) Commit(ctx context.Context, tx *wire.Transaction) (bool, error) {
 	if f.downCommit {
-		return false, platform.ErrUnavailable.New("down")
+		return false, tableservice.ErrUnavailable.New("down")
 	}
 	committed, err := f.Table.Commit(ctx, tx)
 	if f.loseCommit {
-		return false, platform.ErrUnknown.New("lost")
+		return false, tableservice.ErrUnknown.New("lost")
 	}
 	return committed, err
 }
 
 func (f *faultyTable) Read(ctx context.Context, prefix string) ([]*wire.Row, error) {
 	if f.downRead {
-		return nil, platform.ErrUnavailable.New("down")
+		return nil, tableservice.ErrUnavailable.New("down")
 	}
 	return f.Table.Read(ctx, prefix)
 }
@@ -161,7 +161,7 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			c.table.Table = platform.NewMemory()
+			c.table.Table = tableservice.NewMemory()
 			claim, err := NewClaimer(ClaimerConfig{Table: &c.table, Incarnation: "a-1"}).Claim(t.Context(), request, "1")
 			if claim.New != c.wantNew || (err == nil) != (c.wantType == nil) {
 				t.Errorf("got %+v, %v", claim, err)
--- /dev/null
+++ b/origin/conn.go
@@ -0,0 +1,172 @@
+package origin
+
+import (
+	"bufio"
+	"errors"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/bulrushferry/bulrushferry/clock"
+	"github.com/valyala/fasthttp"
+)
+
+// conn is one connection to a backend server. It carries one request at a time.
+type conn struct {
+	net.Conn
+	reader *bufio.Reader
+	// usedAt is when the last answer came, usableFor how long after it the
+	// server keeps the connection.
+	usedAt    clock.Millis
+	usableFor clock.Millis
+}
+
+const (
+	identityLength   = -2
+	maxResponseBytes = 64 << 20
+	readBufferBytes  = 4 << 10
+	// maxStrayAnswers bounds the late answers that are read past.
+	maxStrayAnswers = 4
+	// idleMargin is how long before the server's idle timeout a connection is
+	// no longer used.
+	idleMargin = clock.Second
+)
+
+func newConn(c net.Conn) *conn {
+	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferBytes), usableFor: maxIdle}
+}
+
+// alive reports whether an idle connection looks open: nothing can be read
+// from it, not even its end.
+func (c *conn) alive() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	err = raw.Read(func(fd uintptr) bool {
+		var buffer [1]byte
+		_, _, peekErr := syscall.Recvfrom(int(fd), buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		open = errors.Is(peekErr, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && open
+}
+
+// exchange sends a request and reads the answer to it. It reports whether the
+// connection may carry another request.
+func (c *conn) exchange(d Dialect, id string, payload []byte, response *fasthttp.Response) (bool, error) {
+	if n, err := c.Write(payload); err != nil {
+		if n == 0 {
+			return false, ErrUnreached.Wrap(err, "sending the request")
+		}
+		return false, asError(err, "sending the request")
+	}
+	for range maxStrayAnswers {
+		reusable, err := c.readAnswer(response)
+		if err != nil {
+			return false, err
+		}
+		if c.isStray(d, id, response) {
+			response.Reset()
+			continue
+		}
+		if err := checkAnswer(d, id, response); err != nil {
+			return false, err
+		}
+		return reusable && c.reader.Buffered() == 0, nil
+	}
+	return false, ErrLost.New("the connection carries only answers to other requests")
+}
+
+// readAnswer reads one whole answer.
+func (c *conn) readAnswer(response *fasthttp.Response) (bool, error) {
+	for {
+		if err := response.Header.Read(c.reader); err != nil {
+			return false, asError(err, "reading the answer's head")
+		}
+		if response.StatusCode() >= fasthttp.StatusOK {
+			break
+		}
+	}
+	length := response.Header.ContentLength()
+	if hasNoBody(response.StatusCode()) {
+		return !response.ConnectionClose(), nil
+	}
+	if err := response.ReadBody(c.reader, maxResponseBytes); err != nil {
+		return false, asError(err, "reading the answer's body")
+	}
+	if length == -1 {
+		if err := response.Header.ReadTrailer(c.reader); err != nil {
+			return false, asError(err, "reading the answer's trailer")
+		}
+	}
+	return length != identityLength && !response.ConnectionClose(), nil
+}
+
+// isStray reports whether an answer is a late one to an earlier request.
+func (c *conn) isStray(d Dialect, id string, response *fasthttp.Response) bool {
+	echoed := response.Header.Peek(d.RequestID)
+	return len(echoed) > 0 && string(echoed) != id
+}
+
+// checkAnswer makes sure that an answer was made by a server for the request.
+func checkAnswer(d Dialect, id string, response *fasthttp.Response) error {
+	if isDeclined(d, response) {
+		return nil
+	}
+	if string(response.Header.Peek(d.RequestID)) != id {
+		return ErrLost.New("the answer of status %d does not name its request", response.StatusCode())
+	}
+	if len(response.Header.Peek(d.Signature)) == 0 && response.StatusCode() < fasthttp.StatusMultipleChoices {
+		return ErrLost.New("the answer of status %d has no signature", response.StatusCode())
+	}
+	if len(response.Header.ContentEncoding()) > 0 {
+		return ErrLost.New("the answer has an encoding that nobody asked for")
+	}
+	return nil
+}
+
+// isDeclined reports whether the server said that it did not run the request.
+func isDeclined(d Dialect, response *fasthttp.Response) bool {
+	return len(response.Header.Peek(d.Declined)) > 0 || response.StatusCode() == fasthttp.StatusMisdirectedRequest
+}
+
+func hasNoBody(status int) bool {
+	return status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
+}
+
+// keepFor sets how long the connection may idle from the answer's own word.
+func (c *conn) keepFor(response *fasthttp.Response) {
+	for _, part := range strings.Split(string(response.Header.Peek(fasthttp.HeaderKeepAlive)), ",") {
+		value, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
+		if !ok {
+			continue
+		}
+		if seconds, err := strconv.Atoi(value); err == nil {
+			c.usableFor = min(maxIdle, clock.Millis(seconds)*clock.Second-idleMargin)
+		}
+	}
+}
+
+func asError(err error, doing string) error {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return ErrOverdue.Wrap(err, "%s", doing)
+	}
+	if errors.Is(err, net.ErrClosed) {
+		return ErrGivenUp.Wrap(err, "%s", doing)
+	}
+	return ErrLost.Wrap(err, "%s", doing)
+}
+
+// dial opens a connection that notices within seconds when the other end is gone.
+func dial(address string, timeout time.Duration) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: timeout, Control: setUserTimeout, KeepAliveConfig: keepAlive}
+	return dialer.Dial("tcp4", address)
+}
--- a/peer/change.go
+++ b/peer/change.go
@@ -10,7 +10,7 @@
 
 	"github.com/bulrushferry/bulrushferry/authority"
 	"github.com/bulrushferry/bulrushferry/clock"
-	"github.com/bulrushferry/bulrushferry/platform"
+	"github.com/bulrushferry/bulrushferry/tableservice"
 	"github.com/bulrushferry/bulrushferry/values"
 	"github.com/bulrushferry/bulrushferry/wire"
 	"github.com/joomcode/errorx"
@@ -74,7 +74,7 @@
 			f.advance(next)
 			return f.confirmChange(ctx, next.GetRevision())
 		}
-		if errorx.IsOfType(err, platform.ErrUnavailable) {
+		if errorx.IsOfType(err, tableservice.ErrUnavailable) {
 			return &wire.ChangeResult{Error: "the table service cannot be reached, nothing was changed"}
 		}
 	}
@@ -85,7 +85,7 @@
 // with the revision is read first, and the state only when it is news.
 func (f *Fleet) readStore(ctx context.Context) (*wire.State, error) {
 	sentAt := f.config.Clock.Now()
-	head, err := platform.ReadRow(ctx, f.config.Table, revisionKey)
+	head, err := tableservice.ReadRow(ctx, f.config.Table, revisionKey)
 	if err != nil {
 		return nil, err
 	}
@@ -105,7 +105,7 @@
 }
 
 func (f *Fleet) readState(ctx context.Context) (*wire.State, error) {
-	row, err := platform.ReadRow(ctx, f.config.Table, stateKey)
+	row, err := tableservice.ReadRow(ctx, f.config.Table, stateKey)
 	if err != nil {
 		return nil, err
 	}
--- a/peer/cut_test.go
+++ b/peer/cut_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/bulrushferry/bulrushferry/authority"
 	"github.com/bulrushferry/bulrushferry/clock"
-	"github.com/bulrushferry/bulrushferry/platform"
+	"github.com/bulrushferry/bulrushferry/tableservice"
 	"github.com/bulrushferry/bulrushferry/wire"
 	"github.com/hashicorp/go-hclog"
 )
@@ -32,7 +32,7 @@
 	cutEnd struct {
 		network *cutNetwork
 		address string
-		table   *platform.Memory
+		table   *tableservice.Memory
 	}
 
 	// acceptance is a change that an operator was told is accepted.
@@ -80,22 +80,22 @@
 	return e.network.storeUp && !e.network.noStore[e.address]
 }
 
-// Read implements platform.Table.
+// Read implements tableservice.Table.
 func (e *cutEnd) Read(ctx context.Context, prefix string) ([]*wire.Row, error) {
 	if !e.reachable() {
-		return nil, platform.ErrUnavailable.New("cut")
+		return nil, tableservice.ErrUnavailable.New("cut")
 	}
 	return e.table.Read(ctx, prefix)
 }
 
-// Commit implements platform.Table. Some answers are lost after the write.
+// Commit implements tableservice.Table. Some answers are lost after the write.
 func (e *cutEnd) Commit(ctx context.Context, tx *wire.Transaction) (bool, error) {
 	if !e.reachable() {
-		return false, platform.ErrUnavailable.New("cut")
+		return false, tableservice.ErrUnavailable.New("cut")
 	}
 	committed, err := e.table.Commit(ctx, tx)
 	if e.network.drop("table", e.address) {
-		return false, platform.ErrUnknown.New("lost")
+		return false, tableservice.ErrUnknown.New("lost")
 	}
 	return committed, err
 }
@@ -220,7 +220,7 @@
 }
 
 func startCutFleets(ctx context.Context, network *cutNetwork) (fleets []*Fleet, addresses []string) {
-	table := platform.NewMemory()
+	table := tableservice.NewMemory()
 	for i := range cutNodes {
 		addresses = append(addresses, fmt.Sprint("node-", i))
 	}
--- a/peer/fleet.go
+++ b/peer/fleet.go
@@ -7,7 +7,7 @@
 
 	"github.com/bulrushferry/bulrushferry/authority"
 	"github.com/bulrushferry/bulrushferry/clock"
-	"github.com/bulrushferry/bulrushferry/platform"
+	"github.com/bulrushferry/bulrushferry/tableservice"
 	"github.com/bulrushferry/bulrushferry/values"
 	"github.com/bulrushferry/bulrushferry/wire"
 	"github.com/hashicorp/go-hclog"
@@ -33,7 +33,7 @@
 		Slots   int
 		Timing  Timing
 		Clock   clock.Clock
-		Table   platform.Table
+		Table   tableservice.Table
 		Network Network
 		Log     hclog.Logger
 	}
--- /dev/null
+++ b/peer/instancetls.go
@@ -0,0 +1,49 @@
+package peer
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"math/big"
+	"net"
+	"time"
+)
+
+const certificateLife = 365 * 24 * time.Hour
+
+// NewInstanceTLS returns a TLS configuration with a certificate of its own for
+// the given peer address. It encrypts and names the address; it does not prove
+// that a peer belongs to the fleet, for which the platform hands out no keys.
+func NewInstanceTLS(address string) (*tls.Config, error) {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, ErrTLS.Wrap(err, "reading peer address %s", address)
+	}
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, ErrTLS.Wrap(err, "making a key")
+	}
+	now := time.Now()
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(now.UnixNano()),
+		Subject:      pkix.Name{CommonName: host},
+		NotBefore:    now.Add(-certificateLife),
+		NotAfter:     now.Add(certificateLife),
+		IPAddresses:  []net.IP{net.ParseIP(host)},
+		ExtKeyUsage:  []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	raw, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
+	if err != nil {
+		return nil, ErrTLS.Wrap(err, "making a certificate")
+	}
+	return &tls.Config{
+		MinVersion:         tls.VersionTLS13,
+		Certificates:       []tls.Certificate{{Certificate: [][]byte{raw}, PrivateKey: key}},
+		ClientAuth:         tls.RequireAnyClientCert,
+		InsecureSkipVerify: true, // #nosec G402 -- see the function's comment
+		NextProtos:         []string{protocolName},
+	}, nil
+}
--- a/peer/operate.go
+++ b/peer/operate.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 
-	"github.com/bulrushferry/bulrushferry/platform"
 	"github.com/bulrushferry/bulrushferry/rules"
+	"github.com/bulrushferry/bulrushferry/tableservice"
 	"github.com/bulrushferry/bulrushferry/wire"
 	"google.golang.org/protobuf/proto"
 )
@@ -115,7 +115,7 @@
 func (f *Fleet) History(ctx context.Context) ([]*wire.HistoryEntry, error) {
 	rows, err := f.config.Table.Read(ctx, historyPrefix)
 	if err != nil {
-		return nil, platform.ErrUnavailable.Wrap(err, "reading the rules' history")
+		return nil, tableservice.ErrUnavailable.Wrap(err, "reading the rules' history")
 	}
 	var entries []*wire.HistoryEntry
 	for _, row := range rows {
--- /dev/null
+++ b/placement/outcome.go
@@ -0,0 +1,148 @@
+package placement
+
+import "github.com/bulrushferry/bulrushferry/clock"
+
+type (
+	// Outcome says what became of a request at a server.
+	Outcome int
+
+	// Report is what is known after a request.
+	Report struct {
+		Outcome Outcome
+		// Load is the server's own word on running and waiting requests; it
+		// counts only where HasLoad is set.
+		Load    int
+		HasLoad bool
+	}
+
+	// workTimes are learned times of one kind of work.
+	workTimes struct {
+		warm average
+		cold average
+		all  average
+	}
+
+	// average is a moving average of times.
+	average struct {
+		ms float64
+	}
+)
+
+const (
+	// Answered means that the server ran the request and gave its answer.
+	Answered Outcome = iota
+	// Failed means that the server ran the request and reported an error.
+	Failed
+	// Declined means that the server said that it did not run the request.
+	Declined
+	// Lost means that no whole answer came.
+	Lost
+	// Unreached means that no connection could be made.
+	Unreached
+	// GivenUp means that the request was given up on this side.
+	GivenUp
+	// Overdue means that no answer came in the time there was.
+	Overdue
+)
+
+const (
+	averageWeight = 0.05
+	// warmGuess and coldGuess are the first guesses in parts of the objective.
+	warmGuess = 0.5
+	coldGuess = 1.5
+	// maxSlowness bounds the learned slowness of a server.
+	maxSlowness = 8
+)
+
+// outcomeNames are the outcomes in logs and metrics.
+var outcomeNames = map[Outcome]string{
+	Answered:  "answered",
+	Failed:    "failed",
+	Declined:  "declined",
+	Lost:      "lost",
+	Unreached: "unreached",
+	GivenUp:   "given_up",
+	Overdue:   "overdue",
+}
+
+// String names an outcome.
+func (o Outcome) String() string {
+	return outcomeNames[o]
+}
+
+// Done settles a choice.
+func (t *Table) Done(now clock.Millis, c *Choice, report Report) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := c.record
+	r.inFlight--
+	if report.HasLoad {
+		r.reported = report.Load
+		r.reportedAt = now
+		r.sentSince = 0
+	}
+	switch report.Outcome {
+	case Answered:
+		r.succeed()
+		t.learn(c, now-c.sentAt)
+	case Failed:
+		r.failures = 0
+		r.unwell += (1 - r.unwell) * unwellWeight
+	case Declined:
+		r.failures = 0
+		r.fullUntil = now + declinedBackOff
+		r.unwell += (1 - r.unwell) * unwellWeight / 3
+	case Lost, Unreached:
+		r.fail(now)
+	case Overdue:
+		r.slowness = min(maxSlowness, r.slowness*(1+slownessWeight))
+	case GivenUp:
+	}
+}
+
+// learn takes in the time of an answered request.
+func (t *Table) learn(c *Choice, took clock.Millis) {
+	took = max(1, took-t.distance[c.Server.Region])
+	times := t.times(c.query)
+	expected := times.cold.value()
+	if c.warm {
+		expected = times.warm.value()
+	}
+	r := c.record
+	if c.calm {
+		ratio := float64(took) / float64(max(expected, 1))
+		r.slowness += (min(ratio, maxSlowness) - r.slowness) * slownessWeight
+		r.slowness = max(r.slowness, 1)
+		if r.slowness < 1.5 {
+			if c.warm {
+				times.warm.add(took)
+			} else {
+				times.cold.add(took)
+			}
+		}
+	}
+	times.all.add(took)
+}
+
+// SetDistance takes in the time of a round trip to a region.
+func (t *Table) SetDistance(region string, roundTrip clock.Millis) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.distance[region] = roundTrip
+}
+
+func newWorkTimes(objective clock.Millis) *workTimes {
+	return &workTimes{
+		warm: average{ms: float64(objective) * warmGuess},
+		cold: average{ms: float64(objective) * coldGuess},
+		all:  average{ms: float64(objective) * warmGuess},
+	}
+}
+
+func (a *average) add(span clock.Millis) {
+	a.ms += (float64(span) - a.ms) * averageWeight
+}
+
+func (a *average) value() clock.Millis {
+	return clock.Millis(a.ms)
+}
--- /dev/null
+++ b/placement/server.go
@@ -0,0 +1,136 @@
+// Package placement decides which backend server a request goes to, from what
+// the platform lists, what the servers say of their load and what became of
+// earlier requests. It does no input or output and reads no clock.
+package placement
+
+import (
+	"github.com/bulrushferry/bulrushferry/clock"
+)
+
+type (
+	// Server is what the platform lists of a backend server.
+	Server struct {
+		ID            string
+		Service       string
+		Address       string
+		FailureDomain string
+		Region        string
+		Slots         int
+		Draining      bool
+		// ColdFor is how much longer the server was cold when listed.
+		ColdFor clock.Millis
+		// Born is the moment of the server's start, in Unix milliseconds.
+		Born int64
+	}
+
+	// record is what this instance knows of one server.
+	record struct {
+		info Server
+		hash uint64
+
+		inFlight int
+		// reported is the load that the server told last.
+		reported   int
+		reportedAt clock.Millis
+		// sentSince counts requests sent after the last report.
+		sentSince int
+
+		coldUntil clock.Millis
+		cold      bucket
+
+		// failures counts failures in a row; avoidUntil ends their back-off.
+		failures   int
+		avoidUntil clock.Millis
+		// fullUntil is when a server that declined a request is tried again.
+		fullUntil clock.Millis
+		// unwell is the share of recent requests that failed.
+		unwell float64
+		// slowness is the server's time of work relative to its service's.
+		slowness float64
+		// probing is set while the one request that tests the server runs.
+		probing bool
+
+		served map[uint64]clock.Millis
+	}
+
+	// bucket is a token bucket.
+	bucket struct {
+		tokens    float64
+		updatedAt clock.Millis
+	}
+)
+
+const (
+	reportAge       = 600 * clock.Millis(1)
+	firstBackOff    = 400 * clock.Millis(1)
+	maxBackOff      = 4 * clock.Second
+	declinedBackOff = 60 * clock.Millis(1)
+	// unwellWeight is the weight of the newest request in the failure share.
+	unwellWeight = 0.15
+	// unwellLimit is the failure share from which other servers go first.
+	unwellLimit    = 0.25
+	slownessWeight = 0.15
+	// warmFor is how long a server keeps an object that it handled.
+	warmFor = 20 * clock.Second
+	// maxServed bounds the objects remembered of one server.
+	maxServed = 512
+)
+
+// load estimates how many requests the server has, from all instances.
+func (r *record) load(now clock.Millis) int {
+	if now-r.reportedAt > reportAge {
+		return r.inFlight
+	}
+	return max(r.inFlight, r.reported+r.sentSince)
+}
+
+func (r *record) isCold(now clock.Millis) bool {
+	return now < r.coldUntil
+}
+
+func (r *record) isWarmFor(object uint64, now clock.Millis) bool {
+	at, ok := r.served[object]
+	return ok && now-at < warmFor
+}
+
+func (r *record) remember(object uint64, now clock.Millis) {
+	if len(r.served) >= maxServed {
+		for other, at := range r.served {
+			if now-at >= warmFor {
+				delete(r.served, other)
+			}
+		}
+		if len(r.served) >= maxServed {
+			clear(r.served)
+		}
+	}
+	r.served[object] = now
+}
+
+func (r *record) fail(now clock.Millis) {
+	r.failures++
+	r.avoidUntil = now + min(firstBackOff<<min(r.failures-1, 8), maxBackOff)
+	r.unwell += (1 - r.unwell) * unwellWeight
+}
+
+func (r *record) succeed() {
+	r.failures = 0
+	r.avoidUntil = 0
+	r.unwell -= r.unwell * unwellWeight
+}
+
+// take takes one token of a bucket that fills at a rate up to one token.
+func (b *bucket) take(now clock.Millis, rate float64) bool {
+	b.tokens = min(1, b.tokens+rate*(now-b.updatedAt).Seconds())
+	b.updatedAt = now
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// has reports whether a token is there.
+func (b *bucket) has(now clock.Millis, rate float64) bool {
+	return b.tokens+rate*(now-b.updatedAt).Seconds() >= 1
+}
--- /dev/null
+++ b/placement/table.go
@@ -0,0 +1,220 @@
+package placement
+
+import (
+	"sync"
+
+	"github.com/bulrushferry/bulrushferry/clock"
+	"github.com/bulrushferry/bulrushferry/routing"
+	"github.com/bulrushferry/bulrushferry/values"
+	"github.com/cespare/xxhash/v2"
+)
+
+type (
+	// TableConfig configures a Table.
+	TableConfig struct {
+		// Region is the region of this instance.
+		Region string
+		// ColdOverage and ColdSlack widen a cold server's rate: over any
+		// second it bears rate times overage plus slack.
+		ColdOverage float64
+		ColdSlack   float64
+	}
+
+	// Table holds the backend servers and what is known of them. It is safe
+	// for concurrent use; no other lock is taken under its own.
+	Table struct {
+		config TableConfig
+
+		mu        sync.Mutex
+		servers   map[string]*record
+		services  map[string][]*record
+		limits    map[string]routing.Service
+		evacuated values.Set[string]
+		members   []uint64
+		self      uint64
+		work      map[string]*workTimes
+		distance  map[string]clock.Millis
+		started   bool
+	}
+
+	// Fleet says which instances share the servers' limits.
+	Fleet struct {
+		// Self is the name of this instance.
+		Self string
+		// Members are the names of all instances that may send requests.
+		Members []string
+	}
+)
+
+const (
+	// coldMargin is the part of a cold server's limit that is given out.
+	coldMargin = 0.7
+	// tokensPerOwner is the least allowance worth giving to an instance, in
+	// requests a second.
+	tokensPerOwner = 2.2
+)
+
+// NewTable returns an empty table.
+func NewTable(config TableConfig) *Table {
+	return &Table{
+		config:   config,
+		servers:  make(map[string]*record),
+		services: make(map[string][]*record),
+		work:     make(map[string]*workTimes),
+		distance: make(map[string]clock.Millis),
+	}
+}
+
+// Update takes in the list of all servers. Servers that are not listed any more
+// get nothing more.
+func (t *Table) Update(now clock.Millis, list []Server) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	listed := make(map[string]struct{}, len(list))
+	for _, info := range list {
+		listed[info.ID] = struct{}{}
+		t.put(now, info)
+	}
+	for id := range t.servers {
+		if _, ok := listed[id]; !ok {
+			delete(t.servers, id)
+		}
+	}
+	t.services = make(map[string][]*record)
+	for _, r := range t.servers {
+		t.services[r.info.Service] = append(t.services[r.info.Service], r)
+	}
+	t.started = t.started || len(list) > 0
+}
+
+// put adds a server or renews what is listed of it. A server that has started
+// again is a new one.
+func (t *Table) put(now clock.Millis, info Server) {
+	r, ok := t.servers[info.ID]
+	if !ok || r.info.Born != info.Born || r.info.Address != info.Address {
+		r = &record{
+			hash:     xxhash.Sum64String(info.ID),
+			slowness: 1,
+			served:   make(map[uint64]clock.Millis),
+		}
+		r.cold.updatedAt = now
+		r.coldUntil = now + info.ColdFor
+		if t.started {
+			r.coldUntil = max(r.coldUntil, now+t.limits[info.Service].ColdStart)
+		}
+		t.servers[info.ID] = r
+	}
+	if info.ColdFor > 0 {
+		r.coldUntil = max(r.coldUntil, now+info.ColdFor)
+	}
+	r.info = info
+}
+
+// Configure takes in the limits of the services.
+func (t *Table) Configure(services map[string]routing.Service) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.limits = services
+}
+
+// Evacuate takes in the failure domains that get nothing. The servers of one
+// that is taken back count as cold.
+func (t *Table) Evacuate(now clock.Millis, domains values.Set[string]) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range t.servers {
+		domain := r.info.FailureDomain
+		if t.evacuated.Has(domain) && !domains.Has(domain) {
+			r.coldUntil = max(r.coldUntil, now+t.limits[r.info.Service].ColdStart)
+		}
+	}
+	t.evacuated = domains
+}
+
+// SetFleet takes in the instances that share the servers' limits.
+func (t *Table) SetFleet(fleet Fleet) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.self = xxhash.Sum64String(fleet.Self)
+	t.members = t.members[:0]
+	for _, name := range fleet.Members {
+		if name != fleet.Self {
+			t.members = append(t.members, xxhash.Sum64String(name))
+		}
+	}
+}
+
+// MarkCold takes in a server's own word that it is cold.
+func (t *Table) MarkCold(now clock.Millis, id string, span clock.Millis) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r, ok := t.servers[id]; ok {
+		r.coldUntil = max(r.coldUntil, now+span)
+	}
+}
+
+// Remove takes a server out that is known to have left, until it is listed
+// with another start.
+func (t *Table) Remove(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r, ok := t.servers[id]; ok {
+		r.info.Draining = true
+	}
+}
+
+// Connections returns this instance's part of a service's connections to one
+// server.
+func (t *Table) Connections(service string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	limit := t.limits[service].MaxConnections
+	if limit == 0 {
+		return minConnections
+	}
+	return max(minConnections, limit*connectionPercent/100/(len(t.members)+1))
+}
+
+const (
+	minConnections    = 2
+	connectionPercent = 90
+)
+
+// coldRate returns how many requests a second this instance may send to a cold
+// server. A few instances share the server's limit, so that each one's part is
+// worth having; which ones follows from their names and the server's.
+func (t *Table) coldRate(r *record) float64 {
+	limit := t.limits[r.info.Service].ColdPerS
+	if limit <= 0 {
+		return 0
+	}
+	allowed := (limit*t.config.ColdOverage + t.config.ColdSlack) * coldMargin
+	owners := min(len(t.members)+1, max(1, int(allowed/tokensPerOwner)))
+	if t.rank(r) >= owners {
+		return 0
+	}
+	return max(0, allowed/float64(owners)-1)
+}
+
+// rank counts the instances that come before this one for a server.
+func (t *Table) rank(r *record) int {
+	own := mix(t.self, r.hash)
+	rank := 0
+	for _, member := range t.members {
+		if mix(member, r.hash) > own {
+			rank++
+		}
+	}
+	return rank
+}
+
+// mix hashes two hashes together.
+func mix(a, b uint64) uint64 {
+	x := a ^ (b * 0x9e3779b97f4a7c15)
+	x ^= x >> 32
+	x *= 0xd6e8feb86659fd93
+	x ^= x >> 32
+	x *= 0xd6e8feb86659fd93
+	x ^= x >> 32
+	return x
+}
--- a/standin/world.go
+++ b/standin/world.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"github.com/bulrushferry/bulrushferry/platform"
+	"github.com/bulrushferry/bulrushferry/tableservice"
 	"github.com/bulrushferry/bulrushferry/values"
 	"github.com/bulrushferry/bulrushferry/wire"
 	"github.com/valyala/fasthttp"
@@ -22,7 +22,7 @@
 	world struct {
 		deployment *wire.Deployment
 		started    time.Time
-		table      *platform.Memory
+		table      *tableservice.Memory
 		servers    map[string]*backendServer
 		order      []*backendServer
 		log        *runLog
@@ -77,7 +77,7 @@
 	w := &world{
 		deployment: deployment,
 		started:    time.Now(),
-		table:      platform.NewMemory(),
+		table:      tableservice.NewMemory(),
 		servers:    make(map[string]*backendServer),
 		log:        newRunLog(),
 		cut:        values.NewSet[string](),
--- /dev/null
+++ b/steering/budget.go
@@ -0,0 +1,67 @@
+package steering
+
+import "sync"
+
+type (
+	// BudgetConfig configures a retry budget.
+	BudgetConfig struct {
+		// Ratio is how many retries each request earns over the fleet.
+		Ratio float64
+		// Slack is how many retries the fleet has in a window besides.
+		Slack float64
+		// Members returns how many instances share the slack.
+		Members func() int
+	}
+
+	// Budget bounds the retries to each service to a part of the requests for
+	// it. It is safe for concurrent use.
+	Budget struct {
+		config BudgetConfig
+
+		mu     sync.Mutex
+		tokens map[string]float64
+	}
+)
+
+const (
+	// ratioMargin is the part of the fleet's ratio that is used.
+	ratioMargin = 0.6
+	// slackMargin is the part of the fleet's slack that is used.
+	slackMargin = 0.5
+)
+
+// NewBudget returns a budget with an equal part of the slack for each service.
+func NewBudget(config BudgetConfig) *Budget {
+	return &Budget{config: config, tokens: make(map[string]float64)}
+}
+
+// Earn notes a request for a service.
+func (b *Budget) Earn(service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens[service] = min(b.level(service)+b.config.Ratio*ratioMargin, b.cap())
+}
+
+// Spend takes one retry to a service and reports whether there was one.
+func (b *Budget) Spend(service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	level := b.level(service)
+	if level < 1 {
+		return false
+	}
+	b.tokens[service] = level - 1
+	return true
+}
+
+func (b *Budget) cap() float64 {
+	return max(1, b.config.Slack*slackMargin/float64(max(b.config.Members(), 1)))
+}
+
+func (b *Budget) level(service string) float64 {
+	level, ok := b.tokens[service]
+	if !ok {
+		return b.cap()
+	}
+	return level
+}
--- /dev/null
+++ b/steering/knowledge.go
@@ -0,0 +1,252 @@
+// Package steering runs an entry instance whose configuration, backend servers
+// and evacuations are kept by the platform: it decides what becomes of each
+// request.
+package steering
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/bulrushferry/bulrushferry/clock"
+	"github.com/bulrushferry/bulrushferry/fleet"
+	"github.com/bulrushferry/bulrushferry/placement"
+	"github.com/bulrushferry/bulrushferry/routing"
+	"github.com/bulrushferry/bulrushferry/values"
+	"github.com/bulrushferry/bulrushferry/wire"
+	"github.com/hashicorp/go-hclog"
+	"github.com/rcrowley/go-metrics"
+)
+
+type (
+	// Decoder turns the platform's rows into the product's own types.
+	Decoder interface {
+		// Config returns the newest configuration and the evacuated failure
+		// domains. A configuration that cannot be read is an error.
+		Config(rows []*wire.TableRow) (*routing.Config, values.Set[string], error)
+		// Servers returns the backend servers, and the keys of the rows that
+		// name none.
+		Servers(rows []*wire.TableRow) ([]placement.Server, []string)
+	}
+
+	// KnowledgeConfig configures a Knowledge.
+	KnowledgeConfig struct {
+		// Boot measures the age of what is known, Clock all else.
+		Boot    clock.Clock
+		Clock   clock.Clock
+		Log     hclog.Logger
+		Metrics metrics.Registry
+		Decoder Decoder
+		Table   *placement.Table
+		Members *fleet.Members
+		// Term is how long an instance that hears neither from the platform nor
+		// from most of its peers acts on what it knows.
+		Term clock.Millis
+	}
+
+	// Knowledge is what this instance acts on.
+	Knowledge struct {
+		config KnowledgeConfig
+		// Rules holds the configuration and the evacuations, Servers the
+		// backend servers.
+		Rules   *fleet.Replica
+		Servers *fleet.Replica
+
+		current atomic.Pointer[routing.Config]
+		stopped atomic.Bool
+
+		// mu guards the fields below and orders updates.
+		mu        sync.Mutex
+		unread    values.Set[string]
+		outages   outageTracker
+		known     map[string]placement.Server
+		heldUntil map[string]clock.Millis
+		changed   []func(*routing.Config)
+	}
+
+	// outageTracker notices when the platform comes back after it was away.
+	outageTracker struct {
+		lastContact clock.Millis
+		graceUntil  clock.Millis
+	}
+)
+
+const (
+	// outageLength is the silence of the platform after which entries of
+	// servers may have lapsed without cause.
+	outageLength = 2 * clock.Second
+	// returnGrace is how long after its return lapsed entries may come back.
+	returnGrace = 2200 * clock.Millis(1)
+)
+
+// NewKnowledge returns an empty knowledge.
+func NewKnowledge(config KnowledgeConfig) *Knowledge {
+	k := &Knowledge{
+		config:    config,
+		unread:    values.NewSet[string](),
+		known:     make(map[string]placement.Server),
+		heldUntil: make(map[string]clock.Millis),
+	}
+	return k
+}
+
+// Attach connects the replicas whose changes are taken in.
+func (k *Knowledge) Attach(rules, servers *fleet.Replica) {
+	k.Rules, k.Servers = rules, servers
+}
+
+// OnConfig adds a function that is called with each new configuration.
+func (k *Knowledge) OnConfig(call func(*routing.Config)) {
+	k.changed = append(k.changed, call)
+}
+
+// Config returns the configuration in force, or nothing.
+func (k *Knowledge) Config() *routing.Config {
+	return k.current.Load()
+}
+
+// Limits returns what callers may send.
+func (k *Knowledge) Limits() routing.Limits {
+	if c := k.Config(); c != nil {
+		return c.Limits
+	}
+	return routing.Limits{}
+}
+
+// MayAct reports whether what is known is recent enough to act on: the platform
+// or a peer confirmed it within the term, or most of the fleet is in touch and
+// knows nothing newer.
+func (k *Knowledge) MayAct() bool {
+	if k.Config() == nil {
+		return false
+	}
+	now := k.config.Boot.Now()
+	rules, _ := k.Rules.AsOf()
+	servers, known := k.Servers.AsOf()
+	may := known && (now-min(rules, servers) < k.config.Term || k.config.Members.InMajority(now))
+	if k.stopped.CompareAndSwap(may, !may) {
+		k.config.Log.Warn("authority changed", "acts", may, "rules_age_ms", int64(now-rules), "servers_age_ms", int64(now-servers))
+	}
+	return may
+}
+
+// RulesChanged takes in the configuration's rows.
+func (k *Knowledge) RulesChanged() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	config, evacuated, err := k.config.Decoder.Config(k.Rules.Rows())
+	k.config.Table.Evacuate(k.config.Clock.Now(), evacuated)
+	if err != nil {
+		k.config.Log.Error("the configuration cannot be read and is not taken", "error", err.Error())
+		return
+	}
+	if config == nil {
+		return
+	}
+	old := k.current.Load()
+	if old != nil && config.Version <= old.Version {
+		return
+	}
+	k.config.Table.Configure(config.Services)
+	k.current.Store(config)
+	k.config.Log.Info("configuration in force", "version", config.Version, "services", len(config.Services),
+		"workspaces", len(config.Workspaces), "evacuated", evacuated.Sorted())
+	metrics.GetOrRegisterGauge("config.version", k.config.Metrics).Update(config.Version)
+	for _, call := range k.changed {
+		call(config)
+	}
+}
+
+// ServersChanged takes in the servers' rows. A server whose entry went while the
+// platform was away stays in use for a short while after its return.
+func (k *Knowledge) ServersChanged() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	list, unread := k.config.Decoder.Servers(k.Servers.Rows())
+	k.noteUnread(unread)
+	now := k.config.Boot.Now()
+	k.holdLapsed(now, list)
+	k.put(now, list)
+}
+
+// put hands the listed and the held servers to placement. The caller holds the lock.
+func (k *Knowledge) put(now clock.Millis, list []placement.Server) {
+	current := make(map[string]placement.Server, len(list))
+	for _, server := range list {
+		current[server.ID] = server
+	}
+	for id, until := range k.heldUntil {
+		_, listed := current[id]
+		if listed || now >= until {
+			delete(k.heldUntil, id)
+			continue
+		}
+		current[id] = k.known[id]
+		list = append(list, k.known[id])
+	}
+	for id, server := range current {
+		if old, ok := k.known[id]; !ok || old.Draining != server.Draining || old.Born != server.Born {
+			k.config.Log.Info("backend server", "server", id, "service", server.Service, "domain", server.FailureDomain,
+				"address", server.Address, "draining", server.Draining, "cold_ms", int64(server.ColdFor))
+		}
+	}
+	for id := range k.known {
+		if _, ok := current[id]; !ok {
+			k.config.Log.Info("backend server left", "server", id)
+		}
+	}
+	k.known = current
+	k.config.Table.Update(k.config.Clock.Now(), list)
+}
+
+// holdLapsed keeps servers whose entries went during an outage. The caller
+// holds the lock.
+func (k *Knowledge) holdLapsed(now clock.Millis, list []placement.Server) {
+	if now >= k.outages.graceUntil {
+		return
+	}
+	listed := make(map[string]struct{}, len(list))
+	for _, server := range list {
+		listed[server.ID] = struct{}{}
+	}
+	until := k.outages.graceUntil
+	for id, server := range k.known {
+		if _, ok := listed[id]; ok || server.Draining {
+			continue
+		}
+		if _, held := k.heldUntil[id]; !held {
+			k.heldUntil[id] = until
+			time.AfterFunc((until - now).Duration(), k.ServersChanged)
+		}
+	}
+}
+
+// Contact notes that the platform answered.
+func (k *Knowledge) Contact() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.config.Boot.Now()
+	if k.outages.lastContact > 0 && now-k.outages.lastContact > outageLength {
+		k.outages.graceUntil = now + returnGrace
+		k.config.Log.Info("the platform answers again", "away_ms", int64(now-k.outages.lastContact))
+	}
+	k.outages.lastContact = now
+}
+
+// noteUnread logs each unreadable row once. The caller holds the lock.
+func (k *Knowledge) noteUnread(keys []string) {
+	for _, key := range keys {
+		if !k.unread.Has(key) {
+			k.config.Log.Warn("a row names no backend server to use", "row", key)
+		}
+	}
+	k.unread = values.NewSet(keys...)
+}
+
+// Listed reports whether a server is in use.
+func (k *Knowledge) Listed(id string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	_, ok := k.known[id]
+	return ok
+}
--- /dev/null
+++ b/steering/settings.go
@@ -0,0 +1,82 @@
+package steering
+
+import (
+	"context"
+
+	"github.com/bulrushferry/bulrushferry/clock"
+	"github.com/bulrushferry/bulrushferry/fleet"
+	"github.com/bulrushferry/bulrushferry/origin"
+	"github.com/bulrushferry/bulrushferry/wire"
+	"github.com/valyala/fasthttp"
+)
+
+type (
+	// Settings are what a process learns of its surroundings at its start.
+	Settings struct {
+		Instance      string
+		Region        string
+		FailureDomain string
+		// Regions holds the region of each failure domain.
+		Regions map[string]string
+		// The addresses are IP numbers with ports; an empty one is not served.
+		CallerAddress    string
+		ReadyAddress     string
+		DirectoryAddress string
+		PeerAddress      string
+		MetricsAddress   string
+		// Seeds are peer addresses to ask where the platform does not answer.
+		Seeds    []string
+		MemoryMB int
+		Bounds   Bounds
+	}
+
+	// Bounds are the figures that the deployment's promises hold to.
+	Bounds struct {
+		// Authority is how long an instance that hears nothing acts on.
+		Authority clock.Millis
+		// StopTimeout is how long a process has from SIGTERM to SIGKILL.
+		StopTimeout clock.Millis
+		// LookupAge is the longest time for which callers may keep a look-up.
+		LookupAge  clock.Millis
+		RetryRatio float64
+		// RetrySlack is in retries per service and window, over the fleet.
+		RetrySlack  float64
+		ColdOverage float64
+		ColdSlack   float64
+	}
+
+	// Store is the platform's store.
+	Store interface {
+		// Follow keeps a replica up to date until the context ends. Contact is
+		// called whenever the store answers.
+		Follow(ctx context.Context, replica *fleet.Replica, contact func())
+		// Announce stores this instance's entry.
+		Announce(ctx context.Context, info *wire.FleetInstance) error
+		// Withdraw removes this instance's entry.
+		Withdraw(ctx context.Context, info *wire.FleetInstance) error
+		// Instances returns the stored entries of all instances.
+		Instances(ctx context.Context) ([]*wire.FleetInstance, error)
+	}
+
+	// Surface speaks to callers that ask where to connect and to the platform's
+	// own checks.
+	Surface interface {
+		// Directory answers with the addresses that choose returns for a
+		// caller's region and failure domain, to be kept for an age.
+		Directory(choose func(region, domain string) []string, age clock.Millis) fasthttp.RequestHandler
+		// Ready answers whether this instance takes requests.
+		Ready(ready func() bool) fasthttp.RequestHandler
+	}
+
+	// Adapter is all that speaks to one kind of platform.
+	Adapter struct {
+		Settings Settings
+		Dialect  origin.Dialect
+		Decoder  Decoder
+		Store    Store
+		Surface  Surface
+		// Tables are the names of the platform's tables that are followed.
+		RulesTable   string
+		ServersTable string
+	}
+)
--- /dev/null
+++ b/steering/wiring.go
@@ -0,0 +1,164 @@
+package steering
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"io"
+
+	"github.com/bulrushferry/bulrushferry/clock"
+	"github.com/bulrushferry/bulrushferry/fleet"
+	"github.com/bulrushferry/bulrushferry/gateway"
+	"github.com/bulrushferry/bulrushferry/origin"
+	"github.com/bulrushferry/bulrushferry/peer"
+	"github.com/bulrushferry/bulrushferry/placement"
+	"github.com/bulrushferry/bulrushferry/routing"
+	"github.com/bulrushferry/bulrushferry/wire"
+	"github.com/hashicorp/go-hclog"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/dig"
+)
+
+const (
+	incarnationBytes = 6
+	loanTerm         = clock.Second
+	// loanWait is how long a request may wait for a loan.
+	loanWait = 60 * clock.Millis(1)
+)
+
+// container returns the constructors of all the parts.
+func container(adapter Adapter, logOutput io.Writer) (*dig.Container, error) {
+	c := dig.New()
+	constructors := []any{
+		func() Adapter { return adapter },
+		func() Settings { return adapter.Settings },
+		metrics.NewRegistry,
+		func() clock.Clock { return clock.NewSystem() },
+		func(registry metrics.Registry) hclog.Logger {
+			return newLog(adapter.Settings.Instance, newQueuedWriter(logOutput, registry))
+		},
+		newMembers,
+		newTable,
+		newKnowledge,
+		newMembership,
+		newTransport,
+		newGossip,
+		newLoans,
+		newPool,
+		newBudget,
+		newRequestHandler,
+		newCallers,
+	}
+	for _, constructor := range constructors {
+		if err := c.Provide(constructor); err != nil {
+			return nil, err
+		}
+	}
+	return c, nil
+}
+
+func newMembers(s Settings) (*fleet.Members, error) {
+	raw := make([]byte, incarnationBytes)
+	if _, err := rand.Read(raw); err != nil {
+		return nil, err
+	}
+	return fleet.NewMembers(&wire.FleetInstance{
+		Incarnation:   s.Instance + "-" + hex.EncodeToString(raw),
+		Instance:      s.Instance,
+		Region:        s.Region,
+		FailureDomain: s.FailureDomain,
+		PeerAddress:   s.PeerAddress,
+		CallerAddress: s.CallerAddress,
+	}), nil
+}
+
+func newTable(s Settings) *placement.Table {
+	return placement.NewTable(placement.TableConfig{
+		Region:      s.Region,
+		ColdOverage: s.Bounds.ColdOverage,
+		ColdSlack:   s.Bounds.ColdSlack,
+	})
+}
+
+func newKnowledge(adapter Adapter, c clock.Clock, log hclog.Logger, registry metrics.Registry, table *placement.Table, members *fleet.Members) *Knowledge {
+	k := NewKnowledge(KnowledgeConfig{
+		Boot:    clock.Boot{},
+		Clock:   c,
+		Log:     log.Named("knowledge"),
+		Metrics: registry,
+		Decoder: adapter.Decoder,
+		Table:   table,
+		Members: members,
+		Term:    adapter.Settings.Bounds.Authority,
+	})
+	k.Attach(fleet.NewReplica(adapter.RulesTable, k.RulesChanged), fleet.NewReplica(adapter.ServersTable, k.ServersChanged))
+	return k
+}
+
+func newMembership(members *fleet.Members, k *Knowledge, table *placement.Table) *membership {
+	m := &membership{boot: clock.Boot{}, members: members, knowledge: k, table: table}
+	k.OnConfig(func(*routing.Config) { m.notify() })
+	return m
+}
+
+func newTransport(s Settings, log hclog.Logger) (*peer.Transport, error) {
+	tls, err := peer.NewInstanceTLS(s.PeerAddress)
+	if err != nil {
+		return nil, err
+	}
+	return peer.NewTransport(peer.TransportConfig{Address: s.PeerAddress, TLS: tls, Log: log.Named("peer")})
+}
+
+func newGossip(k *Knowledge, members *fleet.Members, network *peer.Transport, log hclog.Logger) *fleet.Gossip {
+	return fleet.NewGossip(fleet.GossipConfig{
+		Clock:      clock.Boot{},
+		Log:        log.Named("gossip"),
+		Network:    network,
+		Members:    members,
+		Tables:     []*fleet.Replica{k.Rules, k.Servers},
+		Crashing:   func() [][]byte { return nil },
+		Quarantine: func([]byte) {},
+	})
+}
+
+func newLoans(m *membership, c clock.Clock, network *peer.Transport, log hclog.Logger) *peer.Loans {
+	return peer.NewLoans(peer.LoansConfig{
+		Fleet:   m,
+		Clock:   c,
+		Network: network,
+		Log:     log.Named("loans"),
+		Term:    loanTerm,
+		MaxWait: loanWait,
+	})
+}
+
+func newPool(adapter Adapter, c clock.Clock, registry metrics.Registry, table *placement.Table) *origin.Pool {
+	return origin.NewPool(origin.PoolConfig{
+		Clock:          c,
+		Dialect:        adapter.Dialect,
+		Metrics:        registry,
+		MaxConnections: table.Connections,
+		Dialled:        table.SetDistance,
+	})
+}
+
+func newBudget(s Settings, m *membership) *Budget {
+	return NewBudget(BudgetConfig{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Members: m.count})
+}
+
+func newRequestHandler(adapter Adapter, c clock.Clock, log hclog.Logger, registry metrics.Registry, k *Knowledge, table *placement.Table, pool *origin.Pool, budget *Budget, loans *peer.Loans) *Handler {
+	return NewHandler(HandlerConfig{
+		Clock:     c,
+		Log:       log.Named("request"),
+		Metrics:   registry,
+		Dialect:   adapter.Dialect,
+		Knowledge: k,
+		Table:     table,
+		Pool:      pool,
+		Budget:    budget,
+		Rates:     loans,
+	})
+}
+
+func newCallers(h *Handler, k *Knowledge, log hclog.Logger) *gateway.Server {
+	return gateway.NewServer(gateway.ServerConfig{Handler: h, Log: log.Named("gateway"), Limits: k.Limits})
+}
--- a/platform/memory.go
+++ b/tableservice/memory.go
@@ -1,4 +1,4 @@
-package platform
+package tableservice
 
 import (
 	"context"
--- a/platform/platform.go
+++ b/tableservice/tableservice.go
@@ -1,6 +1,6 @@
-// Package platform speaks to the platform: its table service and its instance
+// Package tableservice speaks to the product's own table service and instance list: its table service and its instance
 // list. The interfaces are narrow so that other adapters can stand behind them.
-package platform
+package tableservice
 
 import (
 	"context"
