Keep objects in their callers' region and bound waiting by the objective

Change: each region plans which part of its requests it keeps, by the slots there are; two servers there and one in the next region serve an object; a request that would wait beyond its objective is refused at once, one whose caller has come back is held to its timeout only. A server's times correct the estimate. A stopping instance waits until all its connections have ended. Ruled out: decay of warmth by time (the same at 0.5 and 16 s) or by up to 12 other objects.

--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -29,6 +29,8 @@
 		changed *sync.Cond
 		// queue holds the requests that are not answered yet, oldest first.
 		queue []*Exchange
+		// reading is set from the first byte of a request until it is queued.
+		reading bool
 		// ended is set once no further answer is written.
 		ended bool
 		// last is set once no further request is taken.
@@ -84,6 +86,7 @@
 		_ = c.SetReadDeadline(time.Now().Add(c.server.limits().IdleTimeout.Duration()))
 		_, err := c.reader.Peek(1)
 		if err == nil {
+			c.setReading(true)
 			return true
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
@@ -106,6 +109,22 @@
 	return !c.ended && !c.last
 }
 
+// closeIfIdle ends a connection on which no request is being read or served.
+func (c *conn) closeIfIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.queue) == 0 && !c.reading {
+		_ = c.SetReadDeadline(time.Now())
+	}
+}
+
+// setReading notes whether a request is being read.
+func (c *conn) setReading(reading bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = reading
+}
+
 func (c *conn) isIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -200,6 +219,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.queue = append(c.queue, x)
+	c.reading = false
 	c.last = c.last || x.closes
 }
 
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -40,9 +40,8 @@
 		config   ServerConfig
 		retiring atomic.Bool
 
-		mu      sync.Mutex
-		conns   map[*conn]struct{}
-		running sync.WaitGroup
+		mu    sync.Mutex
+		conns map[*conn]struct{}
 	}
 )
 
@@ -51,6 +50,7 @@
 	defaultBodyBytes     = 16 << 20
 	defaultHeaderTimeout = 3 * clock.Second
 	defaultIdleTimeout   = 30 * clock.Second
+	shutdownPoll         = 10 * time.Millisecond
 	// acceptPause is the pause after a failed accept.
 	acceptPause = 10 * time.Millisecond
 )
@@ -98,8 +98,6 @@
 }
 
 func (s *Server) serve(ctx context.Context, x *Exchange) {
-	s.running.Add(1)
-	defer s.running.Done()
 	s.config.Handler.Serve(ctx, x)
 	x.conn.complete(x)
 }
@@ -121,27 +119,31 @@
 	s.retiring.Store(true)
 }
 
-// Shutdown closes idle connections and waits for running requests.
+// Shutdown closes idle connections and waits until all connections have ended.
+// No further connection may come in.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.Retire()
-	s.mu.Lock()
-	for c := range s.conns {
-		if c.isIdle() {
-			_ = c.SetReadDeadline(time.Now())
+	ticker := time.NewTicker(shutdownPoll)
+	defer ticker.Stop()
+	for s.closeIdle() > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
 		}
 	}
-	s.mu.Unlock()
-	done := make(chan struct{})
-	go func() {
-		s.running.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
+	return nil
+}
+
+// closeIdle closes the connections without a request and returns how many
+// connections there are.
+func (s *Server) closeIdle() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.closeIfIdle()
 	}
+	return len(s.conns)
 }
 
 // limits returns the limits in force, with defaults where there are none.
--- a/origin/conn.go
+++ b/origin/conn.go
@@ -22,6 +22,9 @@
 	// server keeps the connection.
 	usedAt    clock.Millis
 	usableFor clock.Millis
+	// readErr is the last error of the connection itself, which the
+	// decoder's errors do not always carry.
+	readErr error
 }
 
 const (
@@ -36,7 +39,18 @@
 )
 
 func newConn(c net.Conn) *conn {
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferBytes), usableFor: maxIdle}
+	wrapped := &conn{Conn: c, usableFor: maxIdle}
+	wrapped.reader = bufio.NewReaderSize(wrapped, readBufferBytes)
+	return wrapped
+}
+
+// Read implements io.Reader.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err != nil {
+		c.readErr = err
+	}
+	return n, err
 }
 
 // alive reports whether an idle connection looks open: nothing can be read
@@ -66,7 +80,7 @@
 		if n == 0 {
 			return false, ErrUnreached.Wrap(err, "sending the request")
 		}
-		return false, asError(err, "sending the request")
+		return false, c.asError(err, "sending the request")
 	}
 	for range maxStrayAnswers {
 		reusable, err := c.readAnswer(response)
@@ -89,7 +103,7 @@
 func (c *conn) readAnswer(response *fasthttp.Response) (bool, error) {
 	for {
 		if err := response.Header.Read(c.reader); err != nil {
-			return false, asError(err, "reading the answer's head")
+			return false, c.asError(err, "reading the answer's head")
 		}
 		if response.StatusCode() >= fasthttp.StatusOK {
 			break
@@ -100,11 +114,11 @@
 		return !response.ConnectionClose(), nil
 	}
 	if err := response.ReadBody(c.reader, maxResponseBytes); err != nil {
-		return false, asError(err, "reading the answer's body")
+		return false, c.asError(err, "reading the answer's body")
 	}
 	if length == -1 {
 		if err := response.Header.ReadTrailer(c.reader); err != nil {
-			return false, asError(err, "reading the answer's trailer")
+			return false, c.asError(err, "reading the answer's trailer")
 		}
 	}
 	return length != identityLength && !response.ConnectionClose(), nil
@@ -155,8 +169,8 @@
 	}
 }
 
-func asError(err error, doing string) error {
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+func (c *conn) asError(err error, doing string) error {
+	if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(c.readErr, os.ErrDeadlineExceeded) {
 		return ErrOverdue.Wrap(err, "%s", doing)
 	}
 	if errors.Is(err, net.ErrClosed) {
--- a/origin/pool.go
+++ b/origin/pool.go
@@ -55,8 +55,8 @@
 )
 
 const (
-	maxIdle       = 5 * clock.Second
-	maxUnsafeIdle = 3 * clock.Second
+	maxIdle       = 8 * clock.Second
+	maxUnsafeIdle = 5 * clock.Second
 	dialTimeout   = 600 * time.Millisecond
 )
 
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -1,6 +1,9 @@
 package placement
 
 import (
+	"math/rand/v2"
+	"sort"
+
 	"github.com/bulrushferry/bulrushferry/clock"
 	"github.com/bulrushferry/bulrushferry/values"
 )
@@ -23,6 +26,9 @@
 		Left clock.Millis
 		// Objective is the time within which an answer has its full use.
 		Objective clock.Millis
+		// Patience is the expected time up to which waiting for a slot is
+		// worth it.
+		Patience clock.Millis
 	}
 
 	// Choice is a server that has been given a request.
@@ -37,6 +43,7 @@
 		query  Query
 		warm   bool
 		calm   bool
+		raw    clock.Millis
 		sentAt clock.Millis
 	}
 
@@ -52,13 +59,22 @@
 		record *record
 		score  uint64
 		warm   bool
-		time   clock.Millis
+		// raw is the time at the server that the learned times tell, time the
+		// whole time with the server's bias, wait the part spent waiting.
+		raw  clock.Millis
+		time clock.Millis
+		wait clock.Millis
 	}
 )
 
 const (
-	// maxCandidates is how many servers of an object are compared.
-	maxCandidates = 3
+	// copiesPerRegion is how many servers of a region serve one object.
+	copiesPerRegion = 2
+	// settledAge is how long after a server was first listed its objects
+	// are taken to be known to it.
+	settledAge = 6 * clock.Second
+	// retrySpread spreads callers that are told to come back.
+	retrySpread = 120
 	// declineDelay is added for a server that has just declined a request.
 	declineDelay = 150 * clock.Millis(1)
 	// coldFactor is how much longer a cold server takes.
@@ -79,9 +95,12 @@
 		return nil, &Refusal{Reason: "no backend server of service " + q.Service + " may take the request", RetryAfter: noServerRetry}
 	}
 	r := best.record
-	if best.time > q.Left {
-		wait := max(best.time-t.times(q).warm.value(), minRetryAfter)
-		return nil, &Refusal{Reason: "no backend server of service " + q.Service + " is expected to answer in time", RetryAfter: wait}
+	if best.time > q.Left || (best.wait > 0 && best.time > q.Patience) {
+		over := best.time - min(q.Left, q.Patience)
+		return nil, &Refusal{
+			Reason:     "the backend servers of service " + q.Service + " have no room in time",
+			RetryAfter: max(over, minRetryAfter) + clock.Millis(rand.IntN(retrySpread)),
+		}
 	}
 	cold := r.isCold(now)
 	if cold && !r.cold.take(now, t.coldRate(r)) {
@@ -90,7 +109,7 @@
 	choice := &Choice{
 		Server: r.info, Cold: cold, Expected: best.time,
 		record: r, query: q, warm: best.warm, sentAt: now,
-		calm: r.load(now) < r.info.Slots && !cold,
+		raw: best.raw, calm: r.load(now) < r.info.Slots && !cold,
 	}
 	r.inFlight++
 	r.sentSince++
@@ -109,8 +128,8 @@
 	var best *candidate
 	for i := range top {
 		c := &top[i]
-		c.warm = q.Object == 0 || i == 0 || c.record.isWarmFor(q.Object, now)
-		c.time = t.expected(now, q, c)
+		c.warm = q.Object == 0 || c.record.isWarmFor(q.Object, now) || (i == 0 && now-c.record.since > settledAge)
+		t.expect(now, q, c)
 		if best == nil || c.time < best.time {
 			best = c
 		}
@@ -118,32 +137,60 @@
 	return best
 }
 
-// top returns the first few usable servers of the query's object, best ranked
-// first. A strict search leaves out those that have failed lately.
+// top returns the few servers that an object's requests go to: the first two
+// of the region that the plan gives it, and the first of the next region. A
+// strict search leaves out servers that have failed lately.
 func (t *Table) top(now clock.Millis, q Query, strict bool) []candidate {
-	top := make([]candidate, 0, maxCandidates+1)
-	for _, r := range t.services[q.Service] {
-		if !t.usable(now, q, r, strict) {
+	s := t.services[q.Service]
+	if s == nil {
+		return nil
+	}
+	object := q.Object
+	if object == 0 {
+		object = rand.Uint64()
+	}
+	groups := make([]group, 0, len(s.regions))
+	for _, r := range s.regions {
+		if !q.Allowed(r.name) {
 			continue
 		}
-		top = insert(top, candidate{record: r, score: mix(q.Object, r.hash)})
+		g := group{order: s.plan.order(object, r.name, r.hash)}
+		for _, server := range r.servers {
+			if t.usable(now, q, server, strict) {
+				g.insert(candidate{record: server, score: mix(object, server.hash)})
+			}
+		}
+		if g.count > 0 {
+			groups = append(groups, g)
+		}
+	}
+	sort.Slice(groups, func(i, j int) bool { return groups[i].order > groups[j].order })
+	var top []candidate
+	for i := range groups[:min(len(groups), 2)] {
+		top = append(top, groups[i].first[:min(groups[i].count, copiesPerRegion-i)]...)
 	}
 	return top
 }
 
-// insert keeps the candidates sorted by falling score and few.
-func insert(top []candidate, c candidate) []candidate {
-	i := len(top)
-	for i > 0 && top[i-1].score < c.score {
+// group is the best servers of one region for an object.
+type group struct {
+	order float64
+	first [copiesPerRegion]candidate
+	count int
+}
+
+// insert keeps the best candidates in the order of their scores.
+func (g *group) insert(c candidate) {
+	i := g.count
+	for i > 0 && g.first[i-1].score < c.score {
 		i--
 	}
-	if i == maxCandidates {
-		return top
+	if i == copiesPerRegion {
+		return
 	}
-	top = append(top, candidate{})
-	copy(top[i+1:], top[i:])
-	top[i] = c
-	return top[:min(len(top), maxCandidates)]
+	copy(g.first[i+1:], g.first[i:copiesPerRegion-1])
+	g.first[i] = c
+	g.count = min(g.count+1, copiesPerRegion)
 }
 
 func (t *Table) usable(now clock.Millis, q Query, r *record, strict bool) bool {
@@ -165,8 +212,9 @@
 	return r.unwell < unwellLimit
 }
 
-// expected estimates the time until a candidate's answer.
-func (t *Table) expected(now clock.Millis, q Query, c *candidate) clock.Millis {
+// expect estimates the time until a candidate's answer and the part of it that
+// the request waits for a slot.
+func (t *Table) expect(now clock.Millis, q Query, c *candidate) {
 	r := c.record
 	times := t.times(q)
 	work := times.cold.value()
@@ -178,11 +226,13 @@
 	}
 	waiting := max(0, r.load(now)+1-r.info.Slots)
 	wait := clock.Millis(waiting) * times.all.value() / clock.Millis(max(r.info.Slots, 1))
-	total := clock.Millis(float64(work+wait)*r.slowness) + t.distance[r.info.Region]
+	c.raw = work + wait
+	c.wait = clock.Millis(float64(wait) * r.bias)
+	c.time = clock.Millis(float64(c.raw)*r.bias) + t.distance[r.info.Region]
 	if now < r.fullUntil {
-		total += declineDelay
+		c.time += declineDelay
+		c.wait += declineDelay
 	}
-	return total
 }
 
 // times returns the learned times of a query's kind of work.
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -50,8 +50,8 @@
 	// warmGuess and coldGuess are the first guesses in parts of the objective.
 	warmGuess = 0.5
 	coldGuess = 1.5
-	// maxSlowness bounds the learned slowness of a server.
-	maxSlowness = 8
+	// calmBias is the bias from which a server's times teach nothing.
+	calmBias = 1.6
 )
 
 // outcomeNames are the outcomes in logs and metrics.
@@ -95,7 +95,7 @@
 	case Lost, Unreached:
 		r.fail(now)
 	case Overdue:
-		r.slowness = min(maxSlowness, r.slowness*(1+slownessWeight))
+		r.correct(c, max(c.raw, now-c.sentAt))
 	case GivenUp:
 	}
 }
@@ -103,27 +103,26 @@
 // learn takes in the time of an answered request.
 func (t *Table) learn(c *Choice, took clock.Millis) {
 	took = max(1, took-t.distance[c.Server.Region])
+	c.record.correct(c, took)
+	if !c.calm || c.record.bias > calmBias {
+		return
+	}
 	times := t.times(c.query)
-	expected := times.cold.value()
 	if c.warm {
-		expected = times.warm.value()
-	}
-	r := c.record
-	if c.calm {
-		ratio := float64(took) / float64(max(expected, 1))
-		r.slowness += (min(ratio, maxSlowness) - r.slowness) * slownessWeight
-		r.slowness = max(r.slowness, 1)
-		if r.slowness < 1.5 {
-			if c.warm {
-				times.warm.add(took)
-			} else {
-				times.cold.add(took)
-			}
-		}
+		times.warm.add(took)
+	} else {
+		times.cold.add(took)
 	}
 	times.all.add(took)
 }
 
+// correct moves a server's bias towards what a request has shown.
+func (r *record) correct(c *Choice, took clock.Millis) {
+	ratio := float64(took) / float64(max(c.raw, 1))
+	r.bias += (ratio - r.bias) * biasWeight
+	r.bias = min(max(r.bias, minBias), maxBias)
+}
+
 // SetDistance takes in the time of a round trip to a region.
 func (t *Table) SetDistance(region string, roundTrip clock.Millis) {
 	t.mu.Lock()
--- a/placement/server.go
+++ b/placement/server.go
@@ -45,10 +45,10 @@
 		fullUntil clock.Millis
 		// unwell is the share of recent requests that failed.
 		unwell float64
-		// slowness is the server's time of work relative to its service's.
-		slowness float64
-		// probing is set while the one request that tests the server runs.
-		probing bool
+		// bias is how the server's times relate to those that are expected.
+		bias float64
+		// since is when the server was first listed.
+		since clock.Millis
 
 		served map[uint64]clock.Millis
 	}
@@ -68,8 +68,10 @@
 	// unwellWeight is the weight of the newest request in the failure share.
 	unwellWeight = 0.15
 	// unwellLimit is the failure share from which other servers go first.
-	unwellLimit    = 0.25
-	slownessWeight = 0.15
+	unwellLimit = 0.25
+	biasWeight  = 0.12
+	minBias     = 0.7
+	maxBias     = 8.0
 	// warmFor is how long a server keeps an object that it handled.
 	warmFor = 20 * clock.Second
 	// maxServed bounds the objects remembered of one server.
--- a/placement/table.go
+++ b/placement/table.go
@@ -12,8 +12,9 @@
 type (
 	// TableConfig configures a Table.
 	TableConfig struct {
-		// Region is the region of this instance.
-		Region string
+		// Region is the region of this instance, Regions are all regions.
+		Region  string
+		Regions []string
 		// ColdOverage and ColdSlack widen a cold server's rate: over any
 		// second it bears rate times overage plus slack.
 		ColdOverage float64
@@ -27,7 +28,7 @@
 
 		mu        sync.Mutex
 		servers   map[string]*record
-		services  map[string][]*record
+		services  map[string]*serviceServers
 		limits    map[string]routing.Service
 		evacuated values.Set[string]
 		members   []uint64
@@ -37,6 +38,18 @@
 		started   bool
 	}
 
+	// serviceServers are the servers of one service.
+	serviceServers struct {
+		regions []*regionServers
+		plan    plan
+	}
+
+	regionServers struct {
+		name    string
+		hash    uint64
+		servers []*record
+	}
+
 	// Fleet says which instances share the servers' limits.
 	Fleet struct {
 		// Self is the name of this instance.
@@ -59,7 +72,7 @@
 	return &Table{
 		config:   config,
 		servers:  make(map[string]*record),
-		services: make(map[string][]*record),
+		services: make(map[string]*serviceServers),
 		work:     make(map[string]*workTimes),
 		distance: make(map[string]clock.Millis),
 	}
@@ -80,11 +93,24 @@
 			delete(t.servers, id)
 		}
 	}
-	t.services = make(map[string][]*record)
+	t.regroup()
+	t.started = t.started || len(list) > 0
+}
+
+// regroup sorts the servers by service and region and makes the plans anew.
+func (t *Table) regroup() {
+	t.services = make(map[string]*serviceServers)
 	for _, r := range t.servers {
-		t.services[r.info.Service] = append(t.services[r.info.Service], r)
+		s, ok := t.services[r.info.Service]
+		if !ok {
+			s = &serviceServers{}
+			t.services[r.info.Service] = s
+		}
+		s.add(r)
+	}
+	for _, s := range t.services {
+		s.plan = newPlan(t.config.Region, t.config.Regions, s.capacity(t.evacuated))
 	}
-	t.started = t.started || len(list) > 0
 }
 
 // put adds a server or renews what is listed of it. A server that has started
@@ -93,9 +119,10 @@
 	r, ok := t.servers[info.ID]
 	if !ok || r.info.Born != info.Born || r.info.Address != info.Address {
 		r = &record{
-			hash:     xxhash.Sum64String(info.ID),
-			slowness: 1,
-			served:   make(map[uint64]clock.Millis),
+			hash:   xxhash.Sum64String(info.ID),
+			bias:   1,
+			since:  now,
+			served: make(map[uint64]clock.Millis),
 		}
 		r.cold.updatedAt = now
 		r.coldUntil = now + info.ColdFor
@@ -129,6 +156,7 @@
 		}
 	}
 	t.evacuated = domains
+	t.regroup()
 }
 
 // SetFleet takes in the instances that share the servers' limits.
@@ -218,3 +246,30 @@
 	x ^= x >> 32
 	return x
 }
+
+func (s *serviceServers) add(r *record) {
+	for _, region := range s.regions {
+		if region.name == r.info.Region {
+			region.servers = append(region.servers, r)
+			return
+		}
+	}
+	s.regions = append(s.regions, &regionServers{
+		name:    r.info.Region,
+		hash:    xxhash.Sum64String(r.info.Region),
+		servers: []*record{r},
+	})
+}
+
+// capacity returns the slots of each region that take requests.
+func (s *serviceServers) capacity(evacuated values.Set[string]) map[string]float64 {
+	slots := make(map[string]float64, len(s.regions))
+	for _, region := range s.regions {
+		for _, r := range region.servers {
+			if !r.info.Draining && !evacuated.Has(r.info.FailureDomain) {
+				slots[region.name] += float64(r.info.Slots)
+			}
+		}
+	}
+	return slots
+}
--- a/routing/config.go
+++ b/routing/config.go
@@ -46,6 +46,8 @@
 		Homes values.Set[string]
 
 		split *splitter
+		// longest is the longest deadline, in milliseconds, that was seen.
+		longest atomic.Int64
 	}
 
 	// Service is a service's limits.
@@ -115,6 +117,9 @@
 	Safe
 )
 
+// firstTryPercent is the least part of the longest deadline that a first try has.
+const firstTryPercent = 99
+
 // goldenRatio spreads successive requests evenly over the unit interval.
 const goldenRatio = 0.6180339887498949
 
@@ -180,6 +185,20 @@
 	return r.Services[len(r.Services)-1].Service
 }
 
+// CameBack tells from a caller's deadline whether an earlier try of the same
+// caller has used up a part of it.
+func (r *Route) CameBack(deadline clock.Millis) bool {
+	for {
+		longest := r.longest.Load()
+		if int64(deadline) <= longest {
+			return int64(deadline)*100 < longest*firstTryPercent
+		}
+		if r.longest.CompareAndSwap(longest, int64(deadline)) {
+			return false
+		}
+	}
+}
+
 // Urgency returns the rank of a workspace's requests on a route.
 func (r *Route) Urgency(w *Workspace) int {
 	if w != nil {
--- a/steering/handler.go
+++ b/steering/handler.go
@@ -54,6 +54,8 @@
 		object    uint64
 		began     clock.Millis
 		deadline  clock.Millis
+		// patience is the time up to which waiting for a server is worth it.
+		patience clock.Millis
 	}
 )
 
@@ -108,6 +110,7 @@
 		return h.refuse(j, fasthttp.StatusBadRequest, "the request has no id", 0)
 	}
 	j.deadline = j.began + h.timeLeft(j)
+	j.patience = h.patience(j)
 	j.object = h.object(header)
 	return true
 }
@@ -139,6 +142,20 @@
 	return left
 }
 
+// patience is the objective for a caller's first try, so that servers work on
+// what can still be in time; a caller that has come back is served if at all
+// possible. The first tries of a route are those with its longest deadlines.
+func (h *Handler) patience(j *job) clock.Millis {
+	asked, err := strconv.ParseInt(string(j.x.Request.Header.Peek(h.config.Dialect.Deadline)), 10, 64)
+	if err != nil || j.route.Objective <= 0 {
+		return j.route.Timeout
+	}
+	if j.route.CameBack(clock.Millis(asked)) {
+		return j.route.Timeout
+	}
+	return j.route.Objective
+}
+
 // defaultTimeout bounds requests on routes without a timeout.
 const defaultTimeout = 30 * clock.Second
 
@@ -243,6 +260,7 @@
 		Safe:      j.route.Kind == routing.Safe,
 		Left:      left,
 		Objective: j.route.Objective,
+		Patience:  j.patience,
 	}
 }
 
--- a/steering/wiring.go
+++ b/steering/wiring.go
@@ -12,6 +12,7 @@
 	"github.com/bulrushferry/bulrushferry/peer"
 	"github.com/bulrushferry/bulrushferry/placement"
 	"github.com/bulrushferry/bulrushferry/routing"
+	"github.com/bulrushferry/bulrushferry/values"
 	"github.com/bulrushferry/bulrushferry/wire"
 	"github.com/hashicorp/go-hclog"
 	"github.com/rcrowley/go-metrics"
@@ -74,11 +75,21 @@
 func newTable(s Settings) *placement.Table {
 	return placement.NewTable(placement.TableConfig{
 		Region:      s.Region,
+		Regions:     regionNames(s.Regions),
 		ColdOverage: s.Bounds.ColdOverage,
 		ColdSlack:   s.Bounds.ColdSlack,
 	})
 }
 
+// regionNames lists the regions of the failure domains.
+func regionNames(regions map[string]string) []string {
+	names := values.NewSet[string]()
+	for _, region := range regions {
+		names = names.With(region)
+	}
+	return names.Sorted()
+}
+
 func newKnowledge(adapter Adapter, c clock.Clock, log hclog.Logger, registry metrics.Registry, table *placement.Table, members *fleet.Members) *Knowledge {
 	k := NewKnowledge(KnowledgeConfig{
 		Boot:    clock.Boot{},
