Send callers to their own failure domain, and test the new parts

Found by the new random tests: a peer that learned a table whole passed on changes from before as if it knew them all, so that a removed row could come back for a third instance; and load told before any report counted as a report. New tests: replicas, majority, placement, cold limits, answers of servers, routes, the adapter.

--- a/fleet/replica.go
+++ b/fleet/replica.go
@@ -78,6 +78,9 @@
 		return false, true
 	}
 	changed = !r.known
+	if !r.known {
+		r.floor = delta.GetVersion()
+	}
 	rows := delta.GetRows()
 	if delta.GetFull() {
 		rows = append(r.missing(delta), rows...)
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -70,6 +70,10 @@
 const (
 	// copiesPerRegion is how many servers of a region serve one object.
 	copiesPerRegion = 2
+	// domainCost and regionCost are the gains in time for which a request
+	// leaves its failure domain and its region.
+	domainCost = 10 * clock.Millis(1)
+	regionCost = 30 * clock.Millis(1)
 	// settledAge is how long after a server was first listed its objects
 	// are taken to be known to it.
 	settledAge = 6 * clock.Second
@@ -130,13 +134,26 @@
 		c := &top[i]
 		c.warm = q.Object == 0 || c.record.isWarmFor(q.Object, now) || (i == 0 && now-c.record.since > settledAge)
 		t.expect(now, q, c)
-		if best == nil || c.time < best.time {
+		if best == nil || c.time+t.cost(c) < best.time+t.cost(best) {
 			best = c
 		}
 	}
 	return best
 }
 
+// cost returns the gain in time that a candidate must bring over one in this
+// instance's failure domain.
+func (t *Table) cost(c *candidate) clock.Millis {
+	switch {
+	case c.record.info.Region != t.config.Region:
+		return regionCost
+	case c.record.info.FailureDomain != t.config.FailureDomain:
+		return domainCost
+	default:
+		return 0
+	}
+}
+
 // top returns the few servers that an object's requests go to: the first two
 // of the region that the plan gives it, and the first of the next region. A
 // strict search leaves out servers that have failed lately.
--- a/placement/server.go
+++ b/placement/server.go
@@ -80,7 +80,7 @@
 
 // load estimates how many requests the server has, from all instances.
 func (r *record) load(now clock.Millis) int {
-	if now-r.reportedAt > reportAge {
+	if now-r.reportedAt >= reportAge {
 		return r.inFlight
 	}
 	return max(r.inFlight, r.reported+r.sentSince)
--- a/placement/table.go
+++ b/placement/table.go
@@ -12,8 +12,10 @@
 type (
 	// TableConfig configures a Table.
 	TableConfig struct {
-		// Region is the region of this instance, Regions are all regions.
-		Region  string
+		// FailureDomain and Region are those of this instance.
+		FailureDomain string
+		Region        string
+		// Regions are all regions that callers come from.
 		Regions []string
 		// ColdOverage and ColdSlack widen a cold server's rate: over any
 		// second it bears rate times overage plus slack.
@@ -119,10 +121,11 @@
 	r, ok := t.servers[info.ID]
 	if !ok || r.info.Born != info.Born || r.info.Address != info.Address {
 		r = &record{
-			hash:   xxhash.Sum64String(info.ID),
-			bias:   1,
-			since:  now,
-			served: make(map[uint64]clock.Millis),
+			hash:       xxhash.Sum64String(info.ID),
+			bias:       1,
+			since:      now,
+			reportedAt: now - reportAge,
+			served:     make(map[uint64]clock.Millis),
 		}
 		r.cold.updatedAt = now
 		r.coldUntil = now + info.ColdFor
--- /dev/null
+++ b/placement/table_test.go
@@ -0,0 +1,220 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/bulrushferry/bulrushferry/clock"
+	"github.com/bulrushferry/bulrushferry/routing"
+	"github.com/bulrushferry/bulrushferry/values"
+	"pgregory.net/rapid"
+)
+
+const (
+	testService = "desk"
+	testSlots   = 3
+)
+
+var testRegions = map[string]string{"a1": "a", "a2": "a", "b1": "b", "b2": "b"}
+
+// newTestTable returns a table at domain a1 with some servers in each domain.
+func newTestTable(perDomain int) *Table {
+	t := NewTable(TableConfig{FailureDomain: "a1", Region: "a", Regions: []string{"a", "b"}, ColdOverage: 1.5, ColdSlack: 5})
+	t.Configure(map[string]routing.Service{testService: {Name: testService, MaxConnections: 100, ColdStart: 3000, ColdPerS: 6}})
+	t.SetFleet(Fleet{Self: "i0", Members: []string{"i0", "i1", "i2"}})
+	t.Update(0, testServers(perDomain))
+	return t
+}
+
+func testServers(perDomain int) []Server {
+	var list []Server
+	for _, domain := range []string{"a1", "a2", "b1", "b2"} {
+		for i := range perDomain {
+			list = append(list, Server{
+				ID: fmt.Sprintf("%s-%d", domain, i), Service: testService, Address: "x", FailureDomain: domain,
+				Region: testRegions[domain], Slots: testSlots,
+			})
+		}
+	}
+	return list
+}
+
+func testQuery(object uint64) Query {
+	return Query{
+		Service: testService, Route: "r", Object: object, Safe: true, Left: 5000, Objective: 300, Patience: 300,
+		Allowed: func(string) bool { return true }, Except: values.NewSet[string](),
+	}
+}
+
+func TestChooseLeavesOut(t *testing.T) {
+	cases := map[string]struct {
+		prepare func(*Table)
+		query   func(*Query)
+		never   func(Server) bool
+	}{
+		"draining servers": {
+			prepare: func(t *Table) {
+				list := testServers(3)
+				list[0].Draining = true
+				t.Update(0, list)
+			},
+			never: func(s Server) bool { return s.ID == "a1-0" },
+		},
+		"servers that went": {
+			prepare: func(t *Table) { t.Update(0, testServers(3)[1:]) },
+			never:   func(s Server) bool { return s.ID == "a1-0" },
+		},
+		"evacuated domains": {
+			prepare: func(t *Table) { t.Evacuate(0, values.NewSet("a1", "b2")) },
+			never:   func(s Server) bool { return s.FailureDomain == "a1" || s.FailureDomain == "b2" },
+		},
+		"regions that are not homes": {
+			query: func(q *Query) { q.Allowed = func(region string) bool { return region == "b" } },
+			never: func(s Server) bool { return s.Region == "a" },
+		},
+		"servers tried before": {
+			query: func(q *Query) { q.Except = values.NewSet("a1-0", "a1-1") },
+			never: func(s Server) bool { return s.ID == "a1-0" || s.ID == "a1-1" },
+		},
+		"misdirected servers": {
+			prepare: func(t *Table) { t.Remove("a1-2") },
+			never:   func(s Server) bool { return s.ID == "a1-2" },
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			table := newTestTable(3)
+			if c.prepare != nil {
+				c.prepare(table)
+			}
+			for object := uint64(1); object < 300; object++ {
+				q := testQuery(object)
+				if c.query != nil {
+					c.query(&q)
+				}
+				choice, refusal := table.Choose(0, q)
+				if refusal != nil {
+					t.Fatalf("object %d: %s", object, refusal.Reason)
+				}
+				if c.never(choice.Server) {
+					t.Fatalf("object %d went to %s", object, choice.Server.ID)
+				}
+				table.Done(0, choice, Report{Outcome: Answered})
+			}
+		})
+	}
+}
+
+// TestObjectsStay checks that an object keeps its server and that the loss of a
+// server moves the objects of that server only.
+func TestObjectsStay(t *testing.T) {
+	place := func(table *Table, object uint64) string {
+		choice, refusal := table.Choose(100, testQuery(object))
+		if refusal != nil {
+			t.Fatal(refusal.Reason)
+		}
+		table.Done(100, choice, Report{Outcome: GivenUp})
+		return choice.Server.ID
+	}
+	before := newTestTable(4)
+	after := newTestTable(4)
+	after.Remove("a1-0")
+	for object := uint64(1); object < 500; object++ {
+		was, is := place(before, object), place(after, object)
+		if was != "a1-0" && was != is {
+			t.Fatalf("object %d moved from %s to %s", object, was, is)
+		}
+	}
+}
+
+// TestFullServersRefuse fills the servers: beyond the objective, requests are
+// refused at once instead of waiting, and a caller that has come back is not.
+func TestFullServersRefuse(t *testing.T) {
+	table := newTestTable(1)
+	refused := 0
+	for range 200 {
+		choice, refusal := table.Choose(10, testQuery(7))
+		if refusal == nil {
+			if choice.Expected > 300 && choice.record.load(10) > testSlots {
+				t.Fatalf("waits for %d ms with an objective of 300", choice.Expected)
+			}
+			continue
+		}
+		refused++
+		if refusal.RetryAfter <= 0 {
+			t.Fatal("the refusal does not say when to come back")
+		}
+	}
+	if refused == 0 {
+		t.Fatal("nothing was refused")
+	}
+	again := testQuery(7)
+	again.Patience = again.Left
+	if _, refusal := table.Choose(10, again); refusal != nil {
+		t.Fatalf("a caller that has come back was refused: %s", refusal.Reason)
+	}
+}
+
+// TestColdServersAreSpared has all instances of a fleet send to a server that
+// has just started, as fast as they may, at random times: in no second does it
+// get more than its limit.
+func TestColdServersAreSpared(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(1, 40).Draw(t, "instances")
+		names := make([]string, count)
+		for i := range names {
+			names[i] = fmt.Sprintf("instance-%d", i)
+		}
+		tables := make([]*Table, count)
+		for i := range tables {
+			tables[i] = NewTable(TableConfig{FailureDomain: "a1", Region: "a", Regions: []string{"a", "b"}, ColdOverage: 1.5, ColdSlack: 5})
+			tables[i].Configure(map[string]routing.Service{testService: {ColdStart: 3000, ColdPerS: 6.6}})
+			tables[i].SetFleet(Fleet{Self: names[i], Members: names})
+			tables[i].Update(0, []Server{{ID: "old", Service: testService, FailureDomain: "a2", Region: "a", Slots: 3}})
+			tables[i].Update(1000, []Server{{ID: "new", Service: testService, FailureDomain: "a1", Region: "a", Slots: 1000}})
+		}
+		var sent []clock.Millis
+		for now := clock.Millis(1000); now < 4000; now += clock.Millis(rapid.IntRange(1, 60).Draw(t, "pause")) {
+			for _, table := range tables {
+				if choice, refusal := table.Choose(now, testQuery(0)); refusal == nil {
+					sent = append(sent, now)
+					table.Done(now, choice, Report{Outcome: Answered})
+				}
+			}
+		}
+		limit := 6.6*1.5 + 5
+		for i := range sent {
+			inSecond := 0
+			for _, at := range sent[i:] {
+				if at-sent[i] < clock.Second {
+					inSecond++
+				}
+			}
+			if float64(inSecond) > limit {
+				t.Fatalf("%d requests within a second from %d ms, limit %.1f", inSecond, sent[i], limit)
+			}
+		}
+	})
+}
+
+func TestPlan(t *testing.T) {
+	cases := map[string]struct {
+		capacity map[string]float64
+		want     map[string]float64
+	}{
+		"room for all":         {map[string]float64{"a": 10, "b": 10, "c": 10}, map[string]float64{"a": 1}},
+		"a half goes abroad":   {map[string]float64{"a": 5, "b": 10, "c": 15}, map[string]float64{"a": 0.5, "c": 0.5}},
+		"in parts of the room": {map[string]float64{"a": 4, "b": 12, "c": 14}, map[string]float64{"a": 0.4, "b": 0.2, "c": 0.4}},
+		"no servers at home":   {map[string]float64{"b": 10, "c": 10}, map[string]float64{"b": 0.5, "c": 0.5}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			p := newPlan("a", []string{"a", "b", "c"}, c.capacity)
+			for region := range c.capacity {
+				if diff := p.weights[region] - c.want[region]; diff > 0.01 || diff < -0.01 {
+					t.Errorf("%s gets %.2f, want %.2f", region, p.weights[region], c.want[region])
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/routing/config_test.go
@@ -0,0 +1,101 @@
+package routing
+
+import (
+	"testing"
+
+	"github.com/bulrushferry/bulrushferry/clock"
+	"github.com/bulrushferry/bulrushferry/values"
+)
+
+func testConfig() *Config {
+	return New(Parts{
+		Version: 3,
+		Routes: []*Route{
+			{Name: "short", Host: "A.example", Prefix: "/a/", Services: []Weighted{{Service: "one", Weight: 1}}},
+			{Name: "long", Host: "a.example", Prefix: "/a/b/", Services: []Weighted{{Service: "one", Weight: 90}, {Service: "two", Weight: 10}}},
+		},
+		Workspaces: []*Workspace{{Name: "w", Keys: []string{"k1", "k2"}, Homes: values.NewSet("north")}},
+	})
+}
+
+func TestMatch(t *testing.T) {
+	cases := map[string]struct{ host, path, want string }{
+		"longest prefix":   {"a.example", "/a/b/c", "long"},
+		"shorter prefix":   {"a.example", "/a/x", "short"},
+		"host in capitals": {"A.EXAMPLE", "/a/", "short"},
+		"other host":       {"b.example", "/a/", ""},
+		"no prefix":        {"a.example", "/a", ""},
+	}
+	config := testConfig()
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			route, ok := config.Match(c.host, c.path)
+			if ok != (c.want != "") || (ok && route.Name != c.want) {
+				t.Errorf("got %v (%v), want %q", route, ok, c.want)
+			}
+		})
+	}
+}
+
+func TestKeyHolder(t *testing.T) {
+	for key, want := range map[string]bool{"k1": true, "k2": true, "k3": false, "": false} {
+		if _, ok := testConfig().KeyHolder(key); ok != want {
+			t.Errorf("key %q: %v, want %v", key, ok, want)
+		}
+	}
+}
+
+// TestPickService checks that any run of requests is dealt out by weight.
+func TestPickService(t *testing.T) {
+	route, _ := testConfig().Match("a.example", "/a/b/")
+	for start := range 50 {
+		count := 0
+		for range 100 {
+			if route.PickService() == "two" {
+				count++
+			}
+		}
+		if count < 8 || count > 12 {
+			t.Fatalf("run %d: %d of 100 requests went to the part of 10", start, count)
+		}
+	}
+}
+
+func TestInHomes(t *testing.T) {
+	holder, _ := testConfig().KeyHolder("k1")
+	route := &Route{Homes: values.NewSet("north", "south")}
+	cases := map[string]struct {
+		route     *Route
+		workspace *Workspace
+		region    string
+		want      bool
+	}{
+		"no homes":           {&Route{}, nil, "east", true},
+		"the route's":        {route, nil, "south", true},
+		"not the route's":    {route, nil, "east", false},
+		"both bind":          {route, holder, "south", false},
+		"in both":            {route, holder, "north", true},
+		"the workspace's":    {&Route{}, holder, "north", true},
+		"not the workspaces": {&Route{}, holder, "east", false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			if got := c.route.InHomes(c.workspace, c.region); got != c.want {
+				t.Errorf("got %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+func TestCameBack(t *testing.T) {
+	route := &Route{}
+	steps := []struct {
+		deadline clock.Millis
+		want     bool
+	}{{3000, false}, {2000, true}, {3000, false}, {4000, false}, {3000, true}}
+	for i, step := range steps {
+		if got := route.CameBack(step.deadline); got != step.want {
+			t.Errorf("step %d, deadline %d: %v, want %v", i, step.deadline, got, step.want)
+		}
+	}
+}
--- a/steering/run.go
+++ b/steering/run.go
@@ -230,25 +230,32 @@
 	return !p.Members.Self().GetStopping() && p.Knowledge.MayAct()
 }
 
-// entries returns the addresses of the instances that a caller is to use:
-// those of its region, or all where none runs there.
-func (p parts) entries(region, _ string) []string {
-	near, all := []string{}, []string{}
+// entries returns the addresses of the instances that a caller is to use: those
+// of its failure domain; where none runs there, those of its region, or all.
+func (p parts) entries(region, domain string) []string {
+	var here, near, all []string
 	running := p.Members.Alive(clock.Boot{}.Now())
 	if p.isReady() {
-		running = append(running, p.Members.Self())
+		self := p.Members.Self()
+		self.Ready = true
+		running = append(running, self)
 	}
 	for _, info := range running {
-		if info.GetStopping() || !(info.GetReady() || info.GetInstance() == p.Adapter.Settings.Instance) {
+		if info.GetStopping() || !info.GetReady() {
 			continue
 		}
 		all = append(all, info.GetCallerAddress())
 		if info.GetRegion() == region {
 			near = append(near, info.GetCallerAddress())
 		}
+		if info.GetFailureDomain() == domain {
+			here = append(here, info.GetCallerAddress())
+		}
 	}
-	if len(near) > 0 {
-		return near
+	for _, addresses := range [][]string{here, near} {
+		if len(addresses) > 0 {
+			return addresses
+		}
 	}
 	return all
 }
--- a/steering/wiring.go
+++ b/steering/wiring.go
@@ -74,10 +74,11 @@
 
 func newTable(s Settings) *placement.Table {
 	return placement.NewTable(placement.TableConfig{
-		Region:      s.Region,
-		Regions:     regionNames(s.Regions),
-		ColdOverage: s.Bounds.ColdOverage,
-		ColdSlack:   s.Bounds.ColdSlack,
+		FailureDomain: s.FailureDomain,
+		Region:        s.Region,
+		Regions:       regionNames(s.Regions),
+		ColdOverage:   s.Bounds.ColdOverage,
+		ColdSlack:     s.Bounds.ColdSlack,
 	})
 }
 
