Keep each workspace's bucket at one instance, and read the store through relays

Change: one instance, chosen by the hash of its name, keeps a workspace's bucket; others fetch tokens ahead as their demand tells, in one exchange for all workspaces of a keeper, and give back what they do not need. One instance a region reads the store's feed and tells the others; they read it themselves once their news is 1.8 s old. A round of gossip asks three peers.

--- a/fleet/gossip.go
+++ b/fleet/gossip.go
@@ -41,8 +41,12 @@
 const (
 	gossipInterval = 500 * time.Millisecond
 	gossipTimeout  = 450 * time.Millisecond
-	// gossipFanOut is how many running peers are asked a round.
-	gossipFanOut = 6
+	// nearFanOut and farFanOut are how many running peers of the own region and
+	// of others are asked a round.
+	nearFanOut = 2
+	farFanOut  = 1
+	// lonelyFanOut is how many silent peers are asked while none is running.
+	lonelyFanOut = 6
 )
 
 // NewGossip returns a gossip that has not begun.
@@ -75,18 +79,40 @@
 
 // round asks a few running peers, and one that has been silent.
 func (g *Gossip) round(ctx context.Context) {
-	now := g.config.Clock.Now()
-	alive := g.config.Members.Alive(now)
+	alive := g.config.Members.Alive(g.config.Clock.Now())
+	silent := g.silent(alive)
+	asked := silent[:min(len(silent), 1)]
+	if len(alive) == 0 {
+		asked = silent[:min(len(silent), lonelyFanOut)]
+	}
+	for _, member := range append(asked, g.pick(alive)...) {
+		go g.Ask(ctx, member.GetPeerAddress())
+	}
+}
+
+// pick draws the running peers of a round.
+func (g *Gossip) pick(alive []*wire.FleetInstance) []*wire.FleetInstance {
 	rand.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
-	asked := alive[:min(len(alive), gossipFanOut)]
-	if silent := g.silent(alive); len(silent) > 0 {
-		asked = append(asked[:len(asked):len(asked)], silent[rand.IntN(len(silent))])
-		if len(alive) == 0 {
-			asked = silent[:min(len(silent), gossipFanOut)]
+	region := g.config.Members.Self().GetRegion()
+	near, far := nearFanOut, farFanOut
+	var out []*wire.FleetInstance
+	for _, member := range alive {
+		left := &far
+		if member.GetRegion() == region {
+			left = &near
+		}
+		if *left > 0 {
+			*left--
+			out = append(out, member)
 		}
 	}
-	for _, member := range asked {
-		go g.Ask(ctx, member.GetPeerAddress())
+	return out
+}
+
+// Spread tells all running peers at once that there is news.
+func (g *Gossip) Spread() {
+	for _, member := range g.config.Members.Alive(g.config.Clock.Now()) {
+		go g.Ask(context.Background(), member.GetPeerAddress())
 	}
 }
 
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -75,12 +75,14 @@
 	return m.within(now, aliveFor)
 }
 
-// Sharing returns the names of the instances that may be spending their part
-// of the limits, this one among them.
+// Sharing returns the names of the instances that may be using their part of
+// the limits, this one among them; one that stops by plan gives its part up.
 func (m *Members) Sharing(now clock.Millis) []string {
-	names := []string{m.self.GetInstance()}
+	names := []string{m.Self().GetInstance()}
 	for _, info := range m.within(now, sharesFor) {
-		names = append(names, info.GetInstance())
+		if !info.GetStopping() {
+			names = append(names, info.GetInstance())
+		}
 	}
 	sort.Strings(names)
 	return names
--- a/peer/book.go
+++ b/peer/book.go
@@ -90,10 +90,3 @@
 	b.pumping = false
 	return false
 }
-
-// setBase sets the part of the workspace's rate that the instance owns.
-func (b *book) setBase(base share.Part) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.ledger.SetBase(b.clock.Now(), base)
-}
--- a/peer/loans.go
+++ b/peer/loans.go
@@ -7,30 +7,18 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/bulrushferry/bulrushferry/authority"
 	"github.com/bulrushferry/bulrushferry/clock"
+	"github.com/bulrushferry/bulrushferry/rules"
 	"github.com/bulrushferry/bulrushferry/share"
 	"github.com/bulrushferry/bulrushferry/wire"
 	"github.com/hashicorp/go-hclog"
 )
 
 type (
-	// LoanFleet is what loans need to know of the instances.
-	LoanFleet interface {
-		// Incarnation names this process.
-		Incarnation() string
-		// Members returns the other running instances.
-		Members() []Member
-		// HasAuthority reports whether this instance may act.
-		HasAuthority() bool
-		// Bases returns this instance's own part of each workspace's rate.
-		Bases() map[string]share.Part
-		// OnChange adds a function that is called when the parts may have changed.
-		OnChange(listener func())
-	}
-
 	// LoansConfig configures Loans.
 	LoansConfig struct {
-		Fleet   LoanFleet
+		Fleet   *Fleet
 		Clock   clock.Clock
 		Network Network
 		Log     hclog.Logger
@@ -71,18 +59,11 @@
 
 // Run asks for and returns loans until the context ends.
 func (l *Loans) Run(ctx context.Context) {
-	ticker := time.NewTicker(askInterval.Duration())
-	defer ticker.Stop()
-	for {
+	l.config.Fleet.every(ctx, askInterval, func(context.Context) {
 		for _, b := range l.active() {
 			l.tend(b)
 		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
+	})
 }
 
 // Admit takes one token of a workspace. It waits a short while for a loan when
@@ -127,20 +108,29 @@
 	return out
 }
 
-// rebase sets every ledger's own part from the state in force and empties the
-// ledgers of the workspaces that are gone.
+// rebase sets every ledger's own part from the state in force.
 func (l *Loans) rebase() {
-	bases := l.config.Fleet.Bases()
-	for workspace, base := range bases {
-		l.openBook(workspace).setBase(base)
-	}
-	l.mu.RLock()
-	defer l.mu.RUnlock()
-	for name, b := range l.books {
-		if _, ok := bases[name]; !ok {
-			b.setBase(share.Part{})
-		}
+	for _, workspace := range l.config.Fleet.State().GetRules().GetWorkspaces() {
+		base := l.base(workspace)
+		b := l.openBook(workspace.GetName())
+		b.mu.Lock()
+		b.ledger.SetBase(l.config.Clock.Now(), base)
+		b.mu.Unlock()
 	}
+	l.closeBooks()
+}
+
+// base returns this instance's own part of a workspace's rate. Only the share
+// of the slots has to wait for former holders: a changed rate takes effect at
+// once, for the parts of all instances still add up to no more than the higher
+// of the two rates.
+func (l *Loans) base(workspace *wire.WorkspaceRule) share.Part {
+	incarnation := l.config.Fleet.Incarnation()
+	slots := l.config.Fleet.RatePart(func(state *wire.State) float64 {
+		return authority.SlotShare(state, incarnation)
+	})
+	whole := share.Part{Rate: workspace.GetRatePerS(), Burst: workspace.GetBurst()}
+	return whole.WithScale(slots)
 }
 
 func (l *Loans) openBook(workspace string) *book {
@@ -162,6 +152,20 @@
 	return b
 }
 
+// closeBooks empties the ledgers of the workspaces that the rules no longer hold.
+func (l *Loans) closeBooks() {
+	state := l.config.Fleet.State()
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	for name, b := range l.books {
+		if rules.Workspace(state.GetRules(), name) == nil {
+			b.mu.Lock()
+			b.ledger.SetBase(l.config.Clock.Now(), share.Part{})
+			b.mu.Unlock()
+		}
+	}
+}
+
 // tend returns the loans that a book can do without and asks for what it lacks.
 func (l *Loans) tend(b *book) {
 	now := l.config.Clock.Now()
@@ -276,9 +280,9 @@
 	}
 }
 
-// HandleAsk lends to a peer. An instance without authority lends nothing, for
+// handleAsk lends to a peer. An instance without authority lends nothing, for
 // its part may have passed to another one.
-func (l *Loans) HandleAsk(ask *wire.LoanAsk) *wire.LoanGrant {
+func (l *Loans) handleAsk(ask *wire.LoanAsk) *wire.LoanGrant {
 	answer := &wire.LoanGrant{}
 	b := l.book(ask.GetWorkspace())
 	if b == nil || !l.config.Fleet.HasAuthority() {
@@ -303,8 +307,8 @@
 	return answer
 }
 
-// HandleReturn takes a loan back.
-func (l *Loans) HandleReturn(back *wire.LoanReturn) *wire.LoanReturnAnswer {
+// handleReturn takes a loan back.
+func (l *Loans) handleReturn(back *wire.LoanReturn) *wire.LoanReturnAnswer {
 	if b := l.book(back.GetWorkspace()); b != nil {
 		b.mu.Lock()
 		defer b.mu.Unlock()
--- a/peer/server.go
+++ b/peer/server.go
@@ -38,9 +38,9 @@
 	case *wire.PeerRequest_Push:
 		return &wire.PeerResponse{Body: &wire.PeerResponse_Push{Push: s.fleet.handlePush(body.Push)}}
 	case *wire.PeerRequest_LoanAsk:
-		return &wire.PeerResponse{Body: &wire.PeerResponse_LoanGrant{LoanGrant: s.loans.HandleAsk(body.LoanAsk)}}
+		return &wire.PeerResponse{Body: &wire.PeerResponse_LoanGrant{LoanGrant: s.loans.handleAsk(body.LoanAsk)}}
 	case *wire.PeerRequest_LoanReturn:
-		return &wire.PeerResponse{Body: &wire.PeerResponse_LoanReturn{LoanReturn: s.loans.HandleReturn(body.LoanReturn)}}
+		return &wire.PeerResponse{Body: &wire.PeerResponse_LoanReturn{LoanReturn: s.loans.handleReturn(body.LoanReturn)}}
 	case *wire.PeerRequest_Forward:
 		return &wire.PeerResponse{Body: &wire.PeerResponse_Forward{Forward: s.runner.RunForwarded(ctx, body.Forward)}}
 	case *wire.PeerRequest_Handover:
--- a/steering/knowledge.go
+++ b/steering/knowledge.go
@@ -54,6 +54,7 @@
 
 		current atomic.Pointer[routing.Config]
 		stopped atomic.Bool
+		news    func()
 
 		// mu guards the fields below and orders updates.
 		mu        sync.Mutex
@@ -61,20 +62,19 @@
 		outages   outageTracker
 		known     map[string]placement.Server
 		heldUntil map[string]clock.Millis
-		changed   []func(*routing.Config)
 	}
 
 	// outageTracker notices when the platform comes back after it was away.
 	outageTracker struct {
-		lastContact clock.Millis
-		graceUntil  clock.Millis
+		asOf       clock.Millis
+		graceUntil clock.Millis
 	}
 )
 
 const (
 	// outageLength is the silence of the platform after which entries of
 	// servers may have lapsed without cause.
-	outageLength = 2 * clock.Second
+	outageLength = 3 * clock.Second
 	// returnGrace is how long after its return lapsed entries may come back.
 	returnGrace = 2200 * clock.Millis(1)
 )
@@ -86,6 +86,7 @@
 		unread:    values.NewSet[string](),
 		known:     make(map[string]placement.Server),
 		heldUntil: make(map[string]clock.Millis),
+		news:      func() {},
 	}
 	return k
 }
@@ -95,16 +96,26 @@
 	k.Rules, k.Servers = rules, servers
 }
 
-// OnConfig adds a function that is called with each new configuration.
-func (k *Knowledge) OnConfig(call func(*routing.Config)) {
-	k.changed = append(k.changed, call)
-}
-
 // Config returns the configuration in force, or nothing.
 func (k *Knowledge) Config() *routing.Config {
 	return k.current.Load()
 }
 
+// Workspaces names the workspaces that have a rate.
+func (k *Knowledge) Workspaces() []string {
+	config := k.Config()
+	if config == nil {
+		return nil
+	}
+	var names []string
+	for name, w := range config.Workspaces {
+		if w.RatePerS > 0 {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // Limits returns what callers may send.
 func (k *Knowledge) Limits() routing.Limits {
 	if c := k.Config(); c != nil {
@@ -132,6 +143,11 @@
 
 // RulesChanged takes in the configuration's rows.
 func (k *Knowledge) RulesChanged() {
+	k.takeRules()
+	k.news()
+}
+
+func (k *Knowledge) takeRules() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	config, evacuated, err := k.config.Decoder.Config(k.Rules.Rows())
@@ -152,9 +168,6 @@
 	k.config.Log.Info("configuration in force", "version", config.Version, "services", len(config.Services),
 		"workspaces", len(config.Workspaces), "evacuated", evacuated.Sorted())
 	metrics.GetOrRegisterGauge("config.version", k.config.Metrics).Update(config.Version)
-	for _, call := range k.changed {
-		call(config)
-	}
 }
 
 // ServersChanged takes in the servers' rows. A server whose entry went while the
@@ -165,6 +178,7 @@
 	list, unread := k.config.Decoder.Servers(k.Servers.Rows())
 	k.noteUnread(unread)
 	now := k.config.Boot.Now()
+	k.noteAge()
 	k.holdLapsed(now, list)
 	k.put(now, list)
 }
@@ -221,16 +235,30 @@
 	}
 }
 
-// Contact notes that the platform answered.
-func (k *Knowledge) Contact() {
+// NoteAge notices when the platform has come back after it was away.
+func (k *Knowledge) NoteAge() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	now := k.config.Boot.Now()
-	if k.outages.lastContact > 0 && now-k.outages.lastContact > outageLength {
-		k.outages.graceUntil = now + returnGrace
-		k.config.Log.Info("the platform answers again", "away_ms", int64(now-k.outages.lastContact))
+	k.noteAge()
+}
+
+// noteAge does the same. The caller holds the lock.
+func (k *Knowledge) noteAge() {
+	asOf, known := k.Servers.AsOf()
+	if !known {
+		return
+	}
+	away := asOf - k.outages.asOf
+	if k.outages.asOf > 0 && away > outageLength {
+		k.outages.graceUntil = k.config.Boot.Now() + returnGrace
+		k.config.Log.Info("the platform answers again", "away_ms", int64(away))
 	}
-	k.outages.lastContact = now
+	k.outages.asOf = asOf
+}
+
+// OnNews sets a function that is called when the rules have changed.
+func (k *Knowledge) OnNews(call func()) {
+	k.news = call
 }
 
 // noteUnread logs each unreadable row once. The caller holds the lock.
--- a/steering/members.go
+++ b/steering/members.go
@@ -1,77 +1,74 @@
 package steering
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 
 	"github.com/bulrushferry/bulrushferry/clock"
 	"github.com/bulrushferry/bulrushferry/fleet"
-	"github.com/bulrushferry/bulrushferry/peer"
 	"github.com/bulrushferry/bulrushferry/placement"
-	"github.com/bulrushferry/bulrushferry/share"
+	"github.com/bulrushferry/bulrushferry/quota"
 	"github.com/bulrushferry/bulrushferry/wire"
+	"github.com/cespare/xxhash/v2"
 )
 
 // membership splits the limits that cover the whole fleet over the instances
-// that run. It implements peer.LoanFleet.
+// that run, and says who keeps which workspace's bucket.
 type membership struct {
 	boot      clock.Clock
 	members   *fleet.Members
 	knowledge *Knowledge
 	table     *placement.Table
 
-	mu        sync.Mutex
-	sharing   []string
-	listeners []func()
+	mu      sync.Mutex
+	sharing []string
+	// keepers are the instances that keep buckets.
+	keepers []*wire.FleetInstance
+	// relay is set while this instance reads the platform's store for its region.
+	relay bool
+	// part is the part of the limits that this side of the fleet may use.
+	part float64
 }
 
-// burstMargin is the part of a workspace's burst that is given out, which
-// leaves room for instances that come while others fall silent.
-const burstMargin = 0.8
-
-// Incarnation implements peer.LoanFleet.
-func (m *membership) Incarnation() string {
-	return m.members.Self().GetIncarnation()
-}
+const (
+	// maxKeepers bounds the instances that keep buckets, so that one exchange
+	// carries many workspaces.
+	maxKeepers = 6
+	// limitMargin is the part of a workspace's limit that is given out; it
+	// covers two keepers at once for a moment.
+	limitMargin = 0.97
+	// burstMargin is the part of a workspace's burst that is given out.
+	burstMargin = 0.8
+)
 
-// Members implements peer.LoanFleet.
-func (m *membership) Members() []peer.Member {
-	alive := m.members.Alive(m.boot.Now())
-	out := make([]peer.Member, 0, len(alive))
-	for _, info := range alive {
-		out = append(out, peer.Member{Seat: &wire.Seat{
-			Incarnation: info.GetIncarnation(),
-			Instance:    info.GetInstance(),
-			Region:      info.GetRegion(),
-			PeerAddress: info.GetPeerAddress(),
-		}, Stopping: info.GetStopping()})
+// keeper returns the instance that keeps a workspace's bucket. All instances
+// that see the same fleet name the same one.
+func (m *membership) keeper(workspace string) *wire.FleetInstance {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	best := m.members.Self()
+	top := uint64(0)
+	for _, info := range m.keepers {
+		if score := xxhash.Sum64String(info.GetInstance() + "/" + workspace); score >= top {
+			best, top = info, score
+		}
 	}
-	return out
-}
-
-// HasAuthority implements peer.LoanFleet.
-func (m *membership) HasAuthority() bool {
-	return m.knowledge.MayAct()
+	return best
 }
 
-// Bases implements peer.LoanFleet.
-func (m *membership) Bases() map[string]share.Part {
-	bases := make(map[string]share.Part)
+// limit returns a workspace's limit for the part of the fleet that is in touch:
+// instances that fell silent may still use theirs.
+func (m *membership) limit(workspace string) (quota.Limit, bool) {
 	config := m.knowledge.Config()
-	if config == nil {
-		return bases
-	}
-	part := 1 / float64(m.count())
-	for name, workspace := range config.Workspaces {
-		if workspace.RatePerS > 0 {
-			bases[name] = share.Part{Rate: workspace.RatePerS, Burst: workspace.Burst * burstMargin}.WithScale(part)
-		}
+	if config == nil || config.Workspaces[workspace] == nil {
+		return quota.Limit{}, false
 	}
-	return bases
-}
-
-// OnChange implements peer.LoanFleet.
-func (m *membership) OnChange(listener func()) {
-	m.listeners = append(m.listeners, listener)
+	w := config.Workspaces[workspace]
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	whole := quota.Limit{RatePerS: w.RatePerS * limitMargin, Burst: w.Burst * burstMargin}
+	return whole.WithScale(m.part), w.RatePerS > 0
 }
 
 // count returns how many instances share the limits.
@@ -81,24 +78,70 @@
 	return max(1, len(m.sharing))
 }
 
-// refresh takes in who runs and has the limits split anew when that changed.
+// refresh takes in who runs and splits the limits anew.
 func (m *membership) refresh() {
-	sharing := m.members.Sharing(m.boot.Now())
+	now := m.boot.Now()
+	sharing := m.members.Sharing(now)
+	running := m.running(now)
 	m.mu.Lock()
-	changed := len(sharing) != len(m.sharing)
-	for i := 0; !changed && i < len(sharing); i++ {
-		changed = sharing[i] != m.sharing[i]
-	}
+	changed := !slices.Equal(sharing, m.sharing)
 	m.sharing = sharing
+	m.keepers = keepers(running)
+	m.relay = isRelay(running, m.members.Self())
+	m.part = float64(len(running)) / float64(max(len(sharing), 1))
 	m.mu.Unlock()
 	if changed {
 		m.table.SetFleet(placement.Fleet{Self: m.members.Self().GetInstance(), Members: sharing})
-		m.notify()
 	}
 }
 
-func (m *membership) notify() {
-	for _, listener := range m.listeners {
-		listener()
+// running lists the instances that run and do not stop, this one among them.
+func (m *membership) running(now clock.Millis) []*wire.FleetInstance {
+	var out []*wire.FleetInstance
+	for _, info := range append(m.members.Alive(now), m.members.Self()) {
+		if !info.GetStopping() {
+			out = append(out, info)
+		}
+	}
+	return out
+}
+
+// keepers picks a few of the running instances by the hashes of their names.
+func keepers(running []*wire.FleetInstance) []*wire.FleetInstance {
+	sorted := slices.Clone(running)
+	slices.SortFunc(sorted, func(a, b *wire.FleetInstance) int {
+		return cmp.Compare(xxhash.Sum64String(a.GetInstance()), xxhash.Sum64String(b.GetInstance()))
+	})
+	return sorted[:min(len(sorted), maxKeepers)]
+}
+
+// isRelay reports whether an instance is the first of its region by the hashes
+// of the names.
+func isRelay(running []*wire.FleetInstance, self *wire.FleetInstance) bool {
+	own := xxhash.Sum64String(self.GetInstance())
+	for _, info := range running {
+		if info.GetRegion() == self.GetRegion() && xxhash.Sum64String(info.GetInstance()) < own {
+			return false
+		}
 	}
+	return true
 }
+
+// isRelay reports whether this instance reads the platform's store for the
+// others of its region.
+func (m *membership) isRelay() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.relay
+}
+
+// asksStore reports whether this instance is to ask the platform's store for a
+// table: as the relay of its region, or when no news has come for a while.
+func (m *membership) asksStore(replica *fleet.Replica) bool {
+	asOf, known := replica.AsOf()
+	return !known || m.isRelay() || m.boot.Now()-asOf > relayPatience
+}
+
+// relayPatience is the age of a table from which an instance does not wait for
+// its relay.
+const relayPatience = 1800 * clock.Millis(1)
--- /dev/null
+++ b/steering/rates.go
@@ -0,0 +1,271 @@
+package steering
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/bulrushferry/bulrushferry/clock"
+	"github.com/bulrushferry/bulrushferry/peer"
+	"github.com/bulrushferry/bulrushferry/quota"
+	"github.com/bulrushferry/bulrushferry/wire"
+	"github.com/hashicorp/go-hclog"
+)
+
+type (
+	// RatesConfig configures Rates.
+	RatesConfig struct {
+		Clock   clock.Clock
+		Log     hclog.Logger
+		Network peer.Network
+		// Keeper returns the instance that keeps a workspace's bucket.
+		Keeper func(workspace string) *wire.FleetInstance
+		// Self is the name of this instance.
+		Self string
+		// Limit returns a workspace's limit, scaled to the part of the fleet
+		// that is in touch.
+		Limit func(workspace string) (quota.Limit, bool)
+	}
+
+	// Rates admits requests within their workspaces' rates. It implements
+	// Admitter. The lock is never held during a call and no other lock of this
+	// kind is taken under it.
+	Rates struct {
+		config RatesConfig
+
+		mu      sync.Mutex
+		purses  map[string]*purse
+		buckets map[string]*quota.Bucket
+		// asking holds the keepers that are being asked.
+		asking map[string]bool
+	}
+
+	// purse is one workspace's tokens here and the requests that wait for some.
+	purse struct {
+		quota.Purse
+		waiters []chan struct{}
+		// asked are the waiters that the running ask is for.
+		asked []chan struct{}
+	}
+)
+
+const (
+	rateInterval = 400 * time.Millisecond
+	// rateWait is how long a request may wait for a token.
+	rateWait = 160 * time.Millisecond
+	// rateTimeout bounds one exchange with a keeper.
+	rateTimeout = 400 * time.Millisecond
+	// maxRateWaiters bounds the requests of one workspace that wait.
+	maxRateWaiters = 64
+)
+
+// NewRates returns rates without tokens.
+func NewRates(config RatesConfig) *Rates {
+	return &Rates{
+		config:  config,
+		purses:  make(map[string]*purse),
+		buckets: make(map[string]*quota.Bucket),
+		asking:  make(map[string]bool),
+	}
+}
+
+// Admit implements Admitter. It waits a short while for a token from the keeper.
+func (r *Rates) Admit(ctx context.Context, workspace string) bool {
+	admitted, wait := r.spendOrWait(workspace)
+	if wait == nil {
+		return admitted
+	}
+	r.ask(workspace)
+	timer := time.NewTimer(rateWait)
+	defer timer.Stop()
+	select {
+	case <-wait:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.purse(workspace).Spend()
+}
+
+// spendOrWait takes a token, or returns a channel that is closed with the
+// keeper's answer.
+func (r *Rates) spendOrWait(workspace string) (bool, <-chan struct{}) {
+	now := r.config.Clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.purse(workspace)
+	p.Observe(now)
+	if p.Spend() {
+		return true, nil
+	}
+	if r.keeps(workspace) {
+		return r.bucket(now, workspace).Take(now, 1) >= 1, nil
+	}
+	if p.IsEmpty(now) || len(p.waiters) >= maxRateWaiters {
+		return false, nil
+	}
+	wait := make(chan struct{})
+	p.waiters = append(p.waiters, wait)
+	return false, wait
+}
+
+// purse returns a workspace's purse. The caller holds the lock.
+func (r *Rates) purse(workspace string) *purse {
+	p, ok := r.purses[workspace]
+	if !ok {
+		p = &purse{}
+		r.purses[workspace] = p
+	}
+	return p
+}
+
+func (r *Rates) keeps(workspace string) bool {
+	return r.config.Keeper(workspace).GetInstance() == r.config.Self
+}
+
+// bucket returns the bucket of a workspace that this instance keeps. The caller
+// holds the lock.
+func (r *Rates) bucket(now clock.Millis, workspace string) *quota.Bucket {
+	limit, _ := r.config.Limit(workspace)
+	b, ok := r.buckets[workspace]
+	if !ok {
+		b = quota.NewBucket(now, limit)
+		r.buckets[workspace] = b
+	}
+	b.SetLimit(now, limit)
+	return b
+}
+
+// Run fetches and gives back tokens until the context ends.
+func (r *Rates) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		for keeper, workspaces := range r.byKeeper() {
+			go r.exchange(keeper, workspaces)
+		}
+		sleep(ctx, rateInterval)
+	}
+}
+
+// byKeeper lists the workspaces with purses by their keepers' addresses, and
+// drops what this instance no longer keeps.
+func (r *Rates) byKeeper() map[string][]string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make(map[string][]string)
+	for workspace := range r.purses {
+		keeper := r.config.Keeper(workspace)
+		if keeper.GetInstance() != r.config.Self {
+			delete(r.buckets, workspace)
+			out[keeper.GetPeerAddress()] = append(out[keeper.GetPeerAddress()], workspace)
+		}
+	}
+	return out
+}
+
+// Follow begins to keep the buckets of the workspaces that are this instance's
+// to keep, so that they fill, and drops the others.
+func (r *Rates) Follow(workspaces []string) {
+	now := r.config.Clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, workspace := range workspaces {
+		if r.keeps(workspace) {
+			r.bucket(now, workspace)
+		} else {
+			delete(r.buckets, workspace)
+		}
+	}
+}
+
+// ask fetches tokens of one workspace at once.
+func (r *Rates) ask(workspace string) {
+	go r.exchange(r.config.Keeper(workspace).GetPeerAddress(), []string{workspace})
+}
+
+// exchange asks a keeper for what some workspaces lack and gives back what they
+// do not need. A workspace is asked for once at a time.
+func (r *Rates) exchange(address string, workspaces []string) {
+	ask := r.prepare(workspaces)
+	if len(ask.GetWants()) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), rateTimeout)
+	defer cancel()
+	response, err := r.config.Network.Call(ctx, address, &wire.PeerRequest{Body: &wire.PeerRequest_TokenAsk{TokenAsk: ask}})
+	if err != nil {
+		r.config.Log.Debug("fetching tokens failed", "peer", address, "error", err.Error())
+	}
+	if again := r.settle(ask, response.GetTokenGrant()); len(again) > 0 {
+		r.exchange(address, again)
+	}
+}
+
+func (r *Rates) prepare(workspaces []string) *wire.TokenAsk {
+	now := r.config.Clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	ask := &wire.TokenAsk{}
+	for _, workspace := range workspaces {
+		if r.asking[workspace] {
+			continue
+		}
+		p := r.purse(workspace)
+		p.asked, p.waiters = p.waiters, nil
+		want := &wire.TokenWant{Workspace: workspace, Tokens: p.Want(now, len(p.asked))}
+		if want.GetTokens() == 0 {
+			want.GiveBack = p.Surplus(now)
+		}
+		if want.GetTokens() > 0 || want.GetGiveBack() > 0 {
+			r.asking[workspace] = true
+			ask.Wants = append(ask.Wants, want)
+		}
+	}
+	return ask
+}
+
+// settle takes in a grant and wakes the requests that it was for. It returns the
+// workspaces for which others wait by now.
+func (r *Rates) settle(ask *wire.TokenAsk, grant *wire.TokenGrant) []string {
+	now := r.config.Clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, part := range grant.GetParts() {
+		r.purse(part.GetWorkspace()).Add(now, part.GetTokens(), clock.Millis(part.GetEmptyMs()))
+	}
+	var again []string
+	for _, want := range ask.GetWants() {
+		p := r.purse(want.GetWorkspace())
+		delete(r.asking, want.GetWorkspace())
+		for _, wait := range p.asked {
+			close(wait)
+		}
+		p.asked = nil
+		if len(p.waiters) > 0 {
+			again = append(again, want.GetWorkspace())
+		}
+	}
+	return again
+}
+
+// Handle answers a peer's ask as the keeper. An instance that is not, or no
+// longer, the keeper gives nothing.
+func (r *Rates) Handle(ask *wire.TokenAsk) *wire.TokenGrant {
+	now := r.config.Clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	grant := &wire.TokenGrant{}
+	for _, want := range ask.GetWants() {
+		if _, limited := r.config.Limit(want.GetWorkspace()); !limited || !r.keeps(want.GetWorkspace()) {
+			continue
+		}
+		b := r.bucket(now, want.GetWorkspace())
+		b.Put(now, want.GetGiveBack())
+		part := &wire.TokenPart{Workspace: want.GetWorkspace(), Tokens: b.Take(now, want.GetTokens())}
+		if part.GetTokens() < 1 && want.GetTokens() > 0 {
+			part.EmptyMs = int64(b.EmptyFor(now))
+		}
+		grant.Parts = append(grant.Parts, part)
+	}
+	return grant
+}
--- a/steering/run.go
+++ b/steering/run.go
@@ -36,7 +36,7 @@
 	Knowledge  *Knowledge
 	Gossip     *fleet.Gossip
 	Transport  *peer.Transport
-	Loans      *peer.Loans
+	Rates      *Rates
 	Pool       *origin.Pool
 	Callers    *gateway.Server
 }
@@ -91,11 +91,14 @@
 	}
 	var group sync.WaitGroup
 	group.Go(func() { p.Transport.Serve(background, p.handlePeer) })
-	group.Go(func() { p.Adapter.Store.Follow(background, p.Knowledge.Rules, p.Knowledge.Contact) })
-	group.Go(func() { p.Adapter.Store.Follow(background, p.Knowledge.Servers, p.Knowledge.Contact) })
+	for _, replica := range []*fleet.Replica{p.Knowledge.Rules, p.Knowledge.Servers} {
+		group.Go(func() {
+			p.Adapter.Store.Follow(background, replica, func() bool { return p.Membership.asksStore(replica) })
+		})
+	}
 	group.Go(func() { p.join(background) })
 	group.Go(func() { p.Gossip.Run(background) })
-	group.Go(func() { p.Loans.Run(background) })
+	group.Go(func() { p.Rates.Run(background) })
 	group.Go(func() { p.refresh(background) })
 	go func() { _ = p.Callers.Serve(callers) }()
 	p.watchHangup(background)
@@ -156,10 +159,8 @@
 	switch body := request.GetBody().(type) {
 	case *wire.PeerRequest_Gossip:
 		return &wire.PeerResponse{Body: &wire.PeerResponse_Gossip{Gossip: p.Gossip.Handle(ctx, body.Gossip)}}
-	case *wire.PeerRequest_LoanAsk:
-		return &wire.PeerResponse{Body: &wire.PeerResponse_LoanGrant{LoanGrant: p.Loans.HandleAsk(body.LoanAsk)}}
-	case *wire.PeerRequest_LoanReturn:
-		return &wire.PeerResponse{Body: &wire.PeerResponse_LoanReturn{LoanReturn: p.Loans.HandleReturn(body.LoanReturn)}}
+	case *wire.PeerRequest_TokenAsk:
+		return &wire.PeerResponse{Body: &wire.PeerResponse_TokenGrant{TokenGrant: p.Rates.Handle(body.TokenAsk)}}
 	default:
 		return &wire.PeerResponse{Body: &wire.PeerResponse_Error{Error: "unknown request"}}
 	}
@@ -218,6 +219,8 @@
 	for ctx.Err() == nil {
 		p.Members.SetSelf(p.isReady(), p.Members.Self().GetStopping())
 		p.Membership.refresh()
+		p.Knowledge.NoteAge()
+		p.Rates.Follow(p.Knowledge.Workspaces())
 		if time.Since(prune) > pruneInterval {
 			prune = time.Now()
 			p.Pool.Prune(p.Knowledge.Listed)
--- a/steering/settings.go
+++ b/steering/settings.go
@@ -47,9 +47,9 @@
 
 	// Store is the platform's store.
 	Store interface {
-		// Follow keeps a replica up to date until the context ends. Contact is
-		// called whenever the store answers.
-		Follow(ctx context.Context, replica *fleet.Replica, contact func())
+		// Follow keeps a replica up to date until the context ends. The store
+		// is asked only while due says so.
+		Follow(ctx context.Context, replica *fleet.Replica, due func() bool)
 		// Announce stores this instance's entry.
 		Announce(ctx context.Context, info *wire.FleetInstance) error
 		// Withdraw removes this instance's entry.
--- a/steering/wiring.go
+++ b/steering/wiring.go
@@ -11,7 +11,6 @@
 	"github.com/bulrushferry/bulrushferry/origin"
 	"github.com/bulrushferry/bulrushferry/peer"
 	"github.com/bulrushferry/bulrushferry/placement"
-	"github.com/bulrushferry/bulrushferry/routing"
 	"github.com/bulrushferry/bulrushferry/values"
 	"github.com/bulrushferry/bulrushferry/wire"
 	"github.com/hashicorp/go-hclog"
@@ -21,9 +20,6 @@
 
 const (
 	incarnationBytes = 6
-	loanTerm         = clock.Second
-	// loanWait is how long a request may wait for a loan.
-	loanWait = 60 * clock.Millis(1)
 )
 
 // container returns the constructors of all the parts.
@@ -43,7 +39,7 @@
 		newMembership,
 		newTransport,
 		newGossip,
-		newLoans,
+		newRates,
 		newPool,
 		newBudget,
 		newRequestHandler,
@@ -107,9 +103,7 @@
 }
 
 func newMembership(members *fleet.Members, k *Knowledge, table *placement.Table) *membership {
-	m := &membership{boot: clock.Boot{}, members: members, knowledge: k, table: table}
-	k.OnConfig(func(*routing.Config) { m.notify() })
-	return m
+	return &membership{boot: clock.Boot{}, members: members, knowledge: k, table: table}
 }
 
 func newTransport(s Settings, log hclog.Logger) (*peer.Transport, error) {
@@ -120,8 +114,8 @@
 	return peer.NewTransport(peer.TransportConfig{Address: s.PeerAddress, TLS: tls, Log: log.Named("peer")})
 }
 
-func newGossip(k *Knowledge, members *fleet.Members, network *peer.Transport, log hclog.Logger) *fleet.Gossip {
-	return fleet.NewGossip(fleet.GossipConfig{
+func newGossip(k *Knowledge, m *membership, members *fleet.Members, network *peer.Transport, log hclog.Logger) *fleet.Gossip {
+	g := fleet.NewGossip(fleet.GossipConfig{
 		Clock:      clock.Boot{},
 		Log:        log.Named("gossip"),
 		Network:    network,
@@ -130,16 +124,22 @@
 		Crashing:   func() [][]byte { return nil },
 		Quarantine: func([]byte) {},
 	})
+	k.OnNews(func() {
+		if m.isRelay() {
+			g.Spread()
+		}
+	})
+	return g
 }
 
-func newLoans(m *membership, c clock.Clock, network *peer.Transport, log hclog.Logger) *peer.Loans {
-	return peer.NewLoans(peer.LoansConfig{
-		Fleet:   m,
+func newRates(s Settings, m *membership, c clock.Clock, network *peer.Transport, log hclog.Logger) *Rates {
+	return NewRates(RatesConfig{
 		Clock:   c,
+		Log:     log.Named("rates"),
 		Network: network,
-		Log:     log.Named("loans"),
-		Term:    loanTerm,
-		MaxWait: loanWait,
+		Keeper:  m.keeper,
+		Self:    s.Instance,
+		Limit:   m.limit,
 	})
 }
 
@@ -157,7 +157,7 @@
 	return NewBudget(BudgetConfig{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Members: m.count})
 }
 
-func newRequestHandler(adapter Adapter, c clock.Clock, log hclog.Logger, registry metrics.Registry, k *Knowledge, table *placement.Table, pool *origin.Pool, budget *Budget, loans *peer.Loans) *Handler {
+func newRequestHandler(adapter Adapter, c clock.Clock, log hclog.Logger, registry metrics.Registry, k *Knowledge, table *placement.Table, pool *origin.Pool, budget *Budget, rates *Rates) *Handler {
 	return NewHandler(HandlerConfig{
 		Clock:     c,
 		Log:       log.Named("request"),
@@ -167,7 +167,7 @@
 		Table:     table,
 		Pool:      pool,
 		Budget:    budget,
-		Rates:     loans,
+		Rates:     rates,
 	})
 }
 
