Forget a server's failures with time, and learn how many copies of an object fit

First: three servers an object and 19 to 24 servers gave each more objects (46 to 58) than the 48 that it keeps warm. Second: the share of failed requests fell only with successes, so a server beyond the limit got nothing more and stayed beyond it. Change: an object has two servers at first; the number falls when objects that were just handled are slow again, and grows when requests are refused although objects stay warm. The share of failures fades with a time constant of 3 s. Ruled out: the quota (7 of 13,009 refusals).

--- a/placement/choose.go
+++ b/placement/choose.go
@@ -43,6 +43,8 @@
 		query  Query
 		warm   bool
 		calm   bool
+		// known is set where this instance has sent the object there lately.
+		known  bool
 		raw    clock.Millis
 		sentAt clock.Millis
 	}
@@ -100,6 +102,7 @@
 	}
 	r := best.record
 	if best.time > q.Left || (best.wait > 0 && best.time > q.Patience) {
+		t.copiesOf(now, q.Service).refused = true
 		over := best.time - min(q.Left, q.Patience)
 		return nil, &Refusal{
 			Reason:     "the backend servers of service " + q.Service + " have no room in time",
@@ -110,7 +113,9 @@
 	if cold && !r.cold.take(now, t.coldRate(r)) {
 		return nil, &Refusal{Reason: "the backend servers of service " + q.Service + " are cold", RetryAfter: noServerRetry}
 	}
+	known := q.Object != 0 && r.isWarmFor(q.Object, now)
 	choice := &Choice{
+		known:  known,
 		Server: r.info, Cold: cold, Expected: best.time,
 		record: r, query: q, warm: best.warm, sentAt: now,
 		raw: best.raw, calm: r.load(now) < r.info.Slots && !cold,
@@ -154,9 +159,9 @@
 	}
 }
 
-// top returns the few servers that an object's requests go to: the first two
-// of the region that the plan gives it, and the first of the next region. A
-// strict search leaves out servers that have failed lately.
+// top returns the few servers that an object's requests go to, those of the
+// region that the plan gives it first. A strict search leaves out servers that
+// have failed lately.
 func (t *Table) top(now clock.Millis, q Query, strict bool) []candidate {
 	s := t.services[q.Service]
 	if s == nil {
@@ -182,9 +187,19 @@
 		}
 	}
 	sort.Slice(groups, func(i, j int) bool { return groups[i].order > groups[j].order })
+	return take(groups, t.copiesOf(now, q.Service).count)
+}
+
+// take keeps some candidates: the first two of the first region, then the first
+// ones of the next regions.
+func take(groups []group, most int) []candidate {
 	var top []candidate
-	for i := range groups[:min(len(groups), 2)] {
-		top = append(top, groups[i].first[:min(groups[i].count, copiesPerRegion-i)]...)
+	for i := range groups {
+		some := groups[i].first[:min(groups[i].count, max(1, copiesPerRegion-i))]
+		top = append(top, some[:min(len(some), most-len(top))]...)
+		if len(top) == most {
+			break
+		}
 	}
 	return top
 }
@@ -226,7 +241,7 @@
 	if r.failures > 0 && (now < r.avoidUntil || r.inFlight > 0 || !q.Safe) {
 		return false
 	}
-	return r.unwell < unwellLimit
+	return r.unwellShare(now) < unwellLimit
 }
 
 // expect estimates the time until a candidate's answer and the part of it that
@@ -252,6 +267,17 @@
 	}
 }
 
+// copiesOf returns the number of copies of a service's objects.
+func (t *Table) copiesOf(now clock.Millis, service string) *copies {
+	c, ok := t.copies[service]
+	if !ok {
+		c = newCopies(now)
+		t.copies[service] = c
+	}
+	c.adjust(now)
+	return c
+}
+
 // times returns the learned times of a query's kind of work.
 func (t *Table) times(q Query) *workTimes {
 	w, ok := t.work[q.Route]
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -47,6 +47,8 @@
 
 const (
 	averageWeight = 0.05
+	// declinedWeight is the weight of a declined request in a server's health.
+	declinedWeight = 0.05
 	// warmGuess and coldGuess are the first guesses in parts of the objective.
 	warmGuess = 0.5
 	coldGuess = 1.5
@@ -83,15 +85,15 @@
 	}
 	switch report.Outcome {
 	case Answered:
-		r.succeed()
+		r.succeed(now)
 		t.learn(c, now-c.sentAt)
 	case Failed:
 		r.failures = 0
-		r.unwell += (1 - r.unwell) * unwellWeight
+		r.noteHealth(now, 1, unwellWeight)
 	case Declined:
 		r.failures = 0
 		r.fullUntil = now + declinedBackOff
-		r.unwell += (1 - r.unwell) * unwellWeight / 3
+		r.noteHealth(now, 1, declinedWeight)
 	case Lost, Unreached:
 		r.fail(now)
 	case Overdue:
@@ -108,6 +110,9 @@
 		return
 	}
 	times := t.times(c.query)
+	if c.known {
+		t.copiesOf(c.sentAt, c.query.Service).note(took > (times.warm.value()+times.cold.value())/2)
+	}
 	if c.warm {
 		times.warm.add(took)
 	} else {
--- a/placement/server.go
+++ b/placement/server.go
@@ -4,6 +4,8 @@
 package placement
 
 import (
+	"math"
+
 	"github.com/bulrushferry/bulrushferry/clock"
 )
 
@@ -43,8 +45,9 @@
 		avoidUntil clock.Millis
 		// fullUntil is when a server that declined a request is tried again.
 		fullUntil clock.Millis
-		// unwell is the share of recent requests that failed.
-		unwell float64
+		// unwell is the share of recent requests that failed, as of unwellAt.
+		unwell   float64
+		unwellAt clock.Millis
 		// bias is how the server's times relate to those that are expected.
 		bias float64
 		// since is when the server was first listed.
@@ -67,6 +70,8 @@
 	declinedBackOff = 60 * clock.Millis(1)
 	// unwellWeight is the weight of the newest request in the failure share.
 	unwellWeight = 0.15
+	// unwellFade is the time constant with which failures are forgotten.
+	unwellFade = 3 * clock.Second
 	// unwellLimit is the failure share from which other servers go first.
 	unwellLimit = 0.25
 	biasWeight  = 0.12
@@ -112,13 +117,26 @@
 func (r *record) fail(now clock.Millis) {
 	r.failures++
 	r.avoidUntil = now + min(firstBackOff<<min(r.failures-1, 8), maxBackOff)
-	r.unwell += (1 - r.unwell) * unwellWeight
+	r.noteHealth(now, 1, unwellWeight)
 }
 
-func (r *record) succeed() {
+func (r *record) succeed(now clock.Millis) {
 	r.failures = 0
 	r.avoidUntil = 0
-	r.unwell -= r.unwell * unwellWeight
+	r.noteHealth(now, 0, unwellWeight)
+}
+
+// noteHealth moves the share of failed requests towards what was seen.
+func (r *record) noteHealth(now clock.Millis, seen, weight float64) {
+	health := r.unwellShare(now)
+	r.unwell = health + (seen-health)*weight
+	r.unwellAt = now
+}
+
+// unwellShare is the share of recent requests that failed. It fades, so that a
+// server that was left alone is tried again.
+func (r *record) unwellShare(now clock.Millis) float64 {
+	return r.unwell * math.Exp(-float64(now-r.unwellAt)/float64(unwellFade))
 }
 
 // take takes one token of a bucket that fills at a rate up to one token.
--- a/placement/table.go
+++ b/placement/table.go
@@ -39,6 +39,7 @@
 		members   []uint64
 		self      uint64
 		work      map[string]*workTimes
+		copies    map[string]*copies
 		distance  map[string]clock.Millis
 		started   bool
 	}
@@ -79,6 +80,7 @@
 		servers:  make(map[string]*record),
 		services: make(map[string]*serviceServers),
 		work:     make(map[string]*workTimes),
+		copies:   make(map[string]*copies),
 		distance: make(map[string]clock.Millis),
 	}
 }
--- a/placement/table_test.go
+++ b/placement/table_test.go
@@ -197,6 +197,40 @@
 	})
 }
 
+// TestGreyServersComeBack has all servers but one fail for a while: afterwards
+// they get their objects again, though nothing was sent to them meanwhile.
+func TestGreyServersComeBack(t *testing.T) {
+	table := newTestTable(3)
+	var now clock.Millis
+	spread := func(outcome func(Server) Outcome) int {
+		used := make(map[string]struct{})
+		for object := uint64(1); object < 200; object++ {
+			now += 5
+			choice, refusal := table.Choose(now, testQuery(object))
+			if refusal != nil {
+				continue
+			}
+			used[choice.Server.ID] = struct{}{}
+			table.Done(now+1, choice, Report{Outcome: outcome(choice.Server)})
+		}
+		return len(used)
+	}
+	good := func(Server) Outcome { return Answered }
+	before := spread(good)
+	for range 10 {
+		spread(func(s Server) Outcome {
+			if s.ID == "a1-0" {
+				return Answered
+			}
+			return Failed
+		})
+	}
+	now += 5 * clock.Second
+	if after := spread(good); after < before {
+		t.Errorf("%d servers are used after the trouble, %d before", after, before)
+	}
+}
+
 // TestServersOfARunningFleetAreWarm compares what a first process and one that
 // joins a running fleet expect of a server: only the first one's is cold.
 func TestServersOfARunningFleetAreWarm(t *testing.T) {
