--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -133,30 +133,39 @@
 	var broken []string
 	for _, r := range c.results {
 		runs := l.ran(r.id)
-		switch {
-		case r.unsafe && runs > 1:
-			broken = append(broken, fmt.Sprintf("%s may run once and ran %d times", r.id, runs))
-		case r.unsafe && (r.status == 429 || r.status == 503) && runs > 0:
-			broken = append(broken, fmt.Sprintf("%s was refused with %d and ran", r.id, r.status))
-		case r.status == 200 && r.body != "ran "+r.id:
-			broken = append(broken, fmt.Sprintf("%s got the answer %q", r.id, r.body))
-		case r.status == 404 || r.status == 400:
-			broken = append(broken, fmt.Sprintf("%s was denied with %d", r.id, r.status))
-		}
-		at, gone := c.withdrawn[r.workspace()]
-		switch {
-		case gone && runs > 0 && r.sentAt.Sub(at) > withdrawBound:
-			broken = append(broken, fmt.Sprintf("%s ran %s after its key was withdrawn", r.id, r.sentAt.Sub(at)))
-		case !gone && r.status == 401:
-			broken = append(broken, fmt.Sprintf("%s was denied with a good key", r.id))
-		}
+		broken = append(broken, r.checkAnswer(runs)...)
+		broken = append(broken, c.checkKey(r, runs)...)
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.keys > 0 || l.late > 0 || l.foreign > 0 {
-		broken = append(broken, fmt.Sprintf("servers saw %d keys, %d requests too long after they left, %d of other workspaces", l.keys, l.late, l.foreign))
+	return append(broken, l.check()...)
+}
+
+// checkAnswer holds an answer against how often its request ran.
+func (r result) checkAnswer(runs int) []string {
+	refused := r.status == http.StatusTooManyRequests || r.status == http.StatusServiceUnavailable
+	switch {
+	case r.unsafe && runs > 1:
+		return []string{fmt.Sprintf("%s may run once and ran %d times", r.id, runs)}
+	case r.unsafe && refused && runs > 0:
+		return []string{fmt.Sprintf("%s was refused with %d and ran", r.id, r.status)}
+	case r.status == http.StatusOK && r.body != "ran "+r.id:
+		return []string{fmt.Sprintf("%s got the answer %q", r.id, r.body)}
+	case r.status == http.StatusNotFound || r.status == http.StatusBadRequest:
+		return []string{fmt.Sprintf("%s was denied with %d", r.id, r.status)}
+	}
+	return nil
+}
+
+// checkKey holds a request against the time at which its key was withdrawn. The
+// caller holds the lock.
+func (c *callers) checkKey(r result, runs int) []string {
+	at, gone := c.withdrawn[r.workspace()]
+	switch {
+	case gone && runs > 0 && r.sentAt.Sub(at) > withdrawBound:
+		return []string{fmt.Sprintf("%s ran %s after its key was withdrawn", r.id, r.sentAt.Sub(at))}
+	case !gone && r.status == http.StatusUnauthorized:
+		return []string{fmt.Sprintf("%s was denied with a good key", r.id)}
 	}
-	return broken
+	return nil
 }
 
 // served counts the requests with good keys that were sent after a moment, and
--- a/soak/server_test.go
+++ b/soak/server_test.go
@@ -22,7 +22,7 @@
 		keys int
 		// late counts requests that reached a server too long after it left.
 		late int
-		// withdrawn counts runs of requests with a key withdrawn too long ago.
+		// foreign counts requests that ran for another workspace.
 		foreign int
 	}
 
@@ -169,3 +169,13 @@
 	defer l.mu.Unlock()
 	return l.runs[id]
 }
+
+// check returns what the servers saw and must not have seen.
+func (l *ledger) check() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.keys == 0 && l.late == 0 && l.foreign == 0 {
+		return nil
+	}
+	return []string{fmt.Sprintf("servers saw %d keys, %d requests too long after they left, %d of other workspaces", l.keys, l.late, l.foreign)}
+}
