--- a/fleet/gossip.go
+++ b/fleet/gossip.go
@@ -24,9 +24,9 @@
 		// connections to its former process lead nowhere.
 		Restarted func(address string)
 		// Crashing lists the fingerprints of requests that crash backend servers.
-		Crashing func() [][]byte
+		Crashing func() []uint64
 		// Quarantine takes in a peer's word on such a request.
-		Quarantine func(fingerprint []byte)
+		Quarantine func(fingerprint uint64)
 	}
 
 	// Gossip exchanges news and heartbeats with peers: each round asks a few of
--- a/origin/errors.go
+++ b/origin/errors.go
@@ -7,6 +7,9 @@
 
 	// ErrUnreached means that no byte of the request was sent.
 	ErrUnreached = errorSpace.NewType("unreached")
+	// ErrBusy means that this instance has used up its connections to the
+	// server; nothing was sent.
+	ErrBusy = errorSpace.NewType("busy")
 	// ErrLost means that the request may have run and no whole answer came.
 	ErrLost = errorSpace.NewType("lost")
 	// ErrOverdue means that no answer came in the time there was.
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -194,6 +194,46 @@
 	}
 }
 
+// TestConnectionLimit has more requests at once than connections: those beyond
+// are not sent, and the server is not taken for unreachable.
+func TestConnectionLimit(t *testing.T) {
+	release := make(chan struct{})
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	defer close(release)
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				<-release
+				_ = c.Close()
+			}()
+		}
+	}()
+	pool := newTestPool()
+	server := placement.Server{ID: "s", Address: listener.Addr().String()}
+	results := make(chan error, 3)
+	for range 3 {
+		go func() {
+			var response fasthttp.Response
+			_, err := pool.Do(context.Background(), server, true, testRequest("1"), &response)
+			results <- err
+		}()
+	}
+	if err := <-results; !errorx.IsOfType(err, ErrBusy) {
+		t.Fatalf("got %v, want %s", err, ErrBusy)
+	}
+	if outcome := OutcomeOf(Answer{}, 0, ErrBusy.New("x")); outcome != placement.Busy {
+		t.Errorf("outcome %s, want %s", outcome, placement.Busy)
+	}
+}
+
 // TestCancelClosesTheConnection checks that the server sees at once that a
 // request was cancelled.
 func TestCancelClosesTheConnection(t *testing.T) {
--- a/origin/pool.go
+++ b/origin/pool.go
@@ -128,7 +128,7 @@
 		return c, nil
 	}
 	if !p.reserve(server) {
-		return nil, ErrUnreached.New("server %s has all its connections from here", server.ID)
+		return nil, ErrBusy.New("server %s has all its connections from here", server.ID)
 	}
 	began := p.config.Clock.Now()
 	raw, err := Dial(server.Address, min(dialTimeout, left.Duration()))
@@ -248,6 +248,8 @@
 	switch {
 	case errorx.IsOfType(err, ErrUnreached):
 		return placement.Unreached
+	case errorx.IsOfType(err, ErrBusy):
+		return placement.Busy
 	case errorx.IsOfType(err, ErrOverdue):
 		return placement.Overdue
 	case errorx.IsOfType(err, ErrGivenUp):
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -39,6 +39,8 @@
 	Lost
 	// Unreached means that no connection could be made.
 	Unreached
+	// Busy means that no connection was left for the request.
+	Busy
 	// GivenUp means that the request was given up on this side.
 	GivenUp
 	// Overdue means that no answer came in the time there was.
@@ -63,6 +65,7 @@
 	Declined:  "declined",
 	Lost:      "lost",
 	Unreached: "unreached",
+	Busy:      "busy",
 	GivenUp:   "given_up",
 	Overdue:   "overdue",
 }
@@ -94,6 +97,8 @@
 		r.failures = 0
 		r.fullUntil = now + declinedBackOff
 		r.noteHealth(now, 1, declinedWeight)
+	case Busy:
+		r.fullUntil = now + declinedBackOff
 	case Lost, Unreached:
 		r.fail(now)
 	case Overdue:
--- a/placement/table.go
+++ b/placement/table.go
@@ -24,10 +24,12 @@
 		// second it bears rate times overage plus slack.
 		ColdOverage float64
 		ColdSlack   float64
+		// Crashes is told of servers that have started again; it may be nil.
+		Crashes *Crashes
 	}
 
 	// Table holds the backend servers and what is known of them. It is safe
-	// for concurrent use; no other lock is taken under its own.
+	// for concurrent use; only the lock of Crashes is taken under its own.
 	Table struct {
 		config TableConfig
 
@@ -140,6 +142,9 @@
 		if t.started {
 			r.coldUntil = max(r.coldUntil, now+t.limits[info.Service].ColdStart)
 		}
+		if ok && t.config.Crashes != nil {
+			t.config.Crashes.Down(now, info.ID)
+		}
 		t.servers[info.ID] = r
 	}
 	if info.ColdFor > 0 {
--- a/steering/handler.go
+++ b/steering/handler.go
@@ -35,6 +35,7 @@
 		Pool      *origin.Pool
 		Budget    *Budget
 		Rates     Admitter
+		Crashes   *placement.Crashes
 	}
 
 	// Handler decides what becomes of callers' requests.
@@ -66,6 +67,8 @@
 	startRetry = 200 * clock.Millis(1)
 	// rateRetry is when callers that are over their rate come back.
 	rateRetry = 400 * clock.Millis(1)
+	// noRetrySoon is when callers of a quarantined request may come back.
+	noRetrySoon = 10 * clock.Second
 	// retryPart is the part of the time left, as a divisor, that callers
 	// may be told to wait.
 	retryPart = 3
@@ -187,6 +190,10 @@
 // run sends the request to backend servers until one has answered it or it is
 // given up.
 func (h *Handler) run(j *job) {
+	if h.config.Crashes.Any() && h.config.Crashes.Holds(j.began, j.fingerprint()) {
+		h.refuse(j, fasthttp.StatusServiceUnavailable, "the request has crashed backend servers", noRetrySoon)
+		return
+	}
 	j.service = j.route.PickService()
 	h.config.Budget.Earn(j.service)
 	tried := values.NewSet[string]()
@@ -209,7 +216,7 @@
 		}
 		outcome := h.send(j, choice, left)
 		tried = tried.With(choice.Server.ID)
-		if outcome != placement.Unreached {
+		if outcome != placement.Unreached && outcome != placement.Busy {
 			sent++
 		}
 		ran = ran || mayHaveRun(outcome)
@@ -284,10 +291,37 @@
 	if answer.Cold > 0 {
 		h.config.Table.MarkCold(now, choice.Server.ID, answer.Cold)
 	}
+	h.noteCrash(j, choice.Server.ID, outcome, now)
 	h.record(j, choice, outcome, err)
 	return outcome
 }
 
+// noteCrash follows whether requests take servers down.
+func (h *Handler) noteCrash(j *job, server string, outcome placement.Outcome, now clock.Millis) {
+	switch outcome {
+	case placement.Lost:
+		h.config.Crashes.Lost(now, j.fingerprint(), server)
+	case placement.Unreached:
+		h.config.Crashes.Down(now, server)
+	case placement.Answered, placement.Failed, placement.Declined:
+		h.config.Crashes.Answered(server)
+	default:
+	}
+}
+
+// fingerprint identifies the same request of the same workspace.
+func (j *job) fingerprint() placement.Fingerprint {
+	digest := xxhash.New()
+	if j.workspace != nil {
+		_, _ = digest.WriteString(j.workspace.Name)
+	}
+	for _, part := range [][]byte{j.x.Request.Header.Method(), j.x.Request.Header.Host(), j.x.Request.Header.RequestURI(), j.x.Request.Body()} {
+		_, _ = digest.Write([]byte{0})
+		_, _ = digest.Write(part)
+	}
+	return placement.Fingerprint(digest.Sum64())
+}
+
 // record counts an outcome and logs it unless all is well.
 func (h *Handler) record(j *job, choice *placement.Choice, outcome placement.Outcome, err error) {
 	took := h.config.Clock.Now() - j.began
--- a/steering/wiring.go
+++ b/steering/wiring.go
@@ -34,6 +34,7 @@
 			return newLog(adapter.Settings.Instance, newQueuedWriter(logOutput, registry))
 		},
 		newMembers,
+		placement.NewCrashes,
 		newTable,
 		newKnowledge,
 		newMembership,
@@ -69,7 +70,7 @@
 	}), nil
 }
 
-func newTable(s Settings) *placement.Table {
+func newTable(s Settings, crashes *placement.Crashes) *placement.Table {
 	return placement.NewTable(placement.TableConfig{
 		FailureDomain: s.FailureDomain,
 		Region:        s.Region,
@@ -77,6 +78,7 @@
 		Used:          !s.FirstStart,
 		ColdOverage:   s.Bounds.ColdOverage,
 		ColdSlack:     s.Bounds.ColdSlack,
+		Crashes:       crashes,
 	})
 }
 
@@ -116,16 +118,22 @@
 	return peer.NewTransport(peer.TransportConfig{Address: s.PeerAddress, TLS: tls, Log: log.Named("peer")})
 }
 
-func newGossip(k *Knowledge, m *membership, members *fleet.Members, network *peer.Transport, log hclog.Logger) *fleet.Gossip {
+func newGossip(k *Knowledge, m *membership, members *fleet.Members, network *peer.Transport, c clock.Clock, crashes *placement.Crashes, log hclog.Logger) *fleet.Gossip {
 	g := fleet.NewGossip(fleet.GossipConfig{
-		Clock:      clock.Boot{},
-		Log:        log.Named("gossip"),
-		Network:    network,
-		Members:    members,
-		Tables:     []*fleet.Replica{k.Rules, k.Servers},
-		Restarted:  network.Forget,
-		Crashing:   func() [][]byte { return nil },
-		Quarantine: func([]byte) {},
+		Clock:     clock.Boot{},
+		Log:       log.Named("gossip"),
+		Network:   network,
+		Members:   members,
+		Tables:    []*fleet.Replica{k.Rules, k.Servers},
+		Restarted: network.Forget,
+		Crashing: func() []uint64 {
+			var out []uint64
+			for _, f := range crashes.Held() {
+				out = append(out, uint64(f))
+			}
+			return out
+		},
+		Quarantine: func(f uint64) { crashes.Hold(c.Now(), placement.Fingerprint(f)) },
 	})
 	k.OnNews(func() {
 		if m.isRelay() {
@@ -161,7 +169,7 @@
 	return NewBudget(BudgetConfig{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Members: m.count})
 }
 
-func newRequestHandler(adapter Adapter, c clock.Clock, log hclog.Logger, registry metrics.Registry, k *Knowledge, table *placement.Table, pool *origin.Pool, budget *Budget, rates *Rates) *Handler {
+func newRequestHandler(adapter Adapter, c clock.Clock, log hclog.Logger, registry metrics.Registry, k *Knowledge, table *placement.Table, pool *origin.Pool, budget *Budget, rates *Rates, crashes *placement.Crashes) *Handler {
 	return NewHandler(HandlerConfig{
 		Clock:     c,
 		Log:       log.Named("request"),
@@ -172,6 +180,7 @@
 		Pool:      pool,
 		Budget:    budget,
 		Rates:     rates,
+		Crashes:   crashes,
 	})
 }
 
