Let one piece of code look at idle connections, and one give statuses

Cause: the check of an idle connection stood in backend and in origin, word for word, and two functions of the gateway mapped the same errors. Behaviour is as before, but that a socket which is no system socket counts as not usable instead of panicking. Tests: TestIsQuiet; the tests of the packages named pass.

--- a/backend/server.go
+++ b/backend/server.go
@@ -1,10 +1,8 @@
 package backend
 
 import (
-	"errors"
-	"syscall"
-
 	"github.com/bulrushferry/bulrushferry/clock"
+	"github.com/bulrushferry/bulrushferry/socket"
 	"github.com/bulrushferry/bulrushferry/wire"
 )
 
@@ -141,22 +139,7 @@
 	return nil
 }
 
-// alive reports whether an idle connection still looks open: nothing can be
-// read from it, not even its end.
+// alive reports whether an idle connection may carry another request.
 func alive(c *conn) bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	raw, err := c.Conn.(syscall.Conn).SyscallConn()
-	if err != nil {
-		return false
-	}
-	open := false
-	err = raw.Read(func(fd uintptr) bool {
-		var buffer [1]byte
-		_, _, peekErr := syscall.Recvfrom(int(fd), buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = errors.Is(peekErr, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && open
+	return c.reader.Buffered() == 0 && socket.IsQuiet(c.Conn)
 }
--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -190,22 +190,22 @@
 // the caller has gone.
 func headStatus(err error) int {
 	var small *fasthttp.ErrSmallBuffer
-	switch {
-	case errors.As(err, &small):
+	if errors.As(err, &small) {
 		return fasthttp.StatusRequestHeaderFieldsTooLarge
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return fasthttp.StatusRequestTimeout
-	case isGone(err):
-		return 0
-	default:
-		return fasthttp.StatusBadRequest
 	}
+	return readStatus(err)
 }
 
+// bodyStatus does the same for a body.
 func bodyStatus(err error) int {
-	switch {
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
 		return fasthttp.StatusRequestEntityTooLarge
+	}
+	return readStatus(err)
+}
+
+func readStatus(err error) int {
+	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return fasthttp.StatusRequestTimeout
 	case isGone(err):
--- a/origin/conn.go
+++ b/origin/conn.go
@@ -7,10 +7,9 @@
 	"os"
 	"strconv"
 	"strings"
-	"syscall"
-	"time"
 
 	"github.com/bulrushferry/bulrushferry/clock"
+	"github.com/bulrushferry/bulrushferry/socket"
 	"github.com/valyala/fasthttp"
 )
 
@@ -53,24 +52,9 @@
 	return n, err
 }
 
-// alive reports whether an idle connection looks open: nothing can be read
-// from it, not even its end.
+// alive reports whether an idle connection may carry another request.
 func (c *conn) alive() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	raw, err := c.Conn.(syscall.Conn).SyscallConn()
-	if err != nil {
-		return false
-	}
-	open := false
-	err = raw.Read(func(fd uintptr) bool {
-		var buffer [1]byte
-		_, _, peekErr := syscall.Recvfrom(int(fd), buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = errors.Is(peekErr, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && open
+	return c.reader.Buffered() == 0 && socket.IsQuiet(c.Conn)
 }
 
 // exchange sends a request and reads the answer to it. It reports whether the
@@ -178,9 +162,3 @@
 	}
 	return ErrLost.Wrap(err, "%s", doing)
 }
-
-// Dial opens a connection that notices within seconds when the other end is gone.
-func Dial(address string, timeout time.Duration) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: timeout, Control: setUserTimeout, KeepAliveConfig: keepAlive}
-	return dialer.Dial("tcp4", address)
-}
--- a/origin/pool.go
+++ b/origin/pool.go
@@ -9,6 +9,7 @@
 
 	"github.com/bulrushferry/bulrushferry/clock"
 	"github.com/bulrushferry/bulrushferry/placement"
+	"github.com/bulrushferry/bulrushferry/socket"
 	"github.com/joomcode/errorx"
 	"github.com/rcrowley/go-metrics"
 	"github.com/valyala/fasthttp"
@@ -131,7 +132,7 @@
 		return nil, ErrBusy.New("server %s has all its connections from here", server.ID)
 	}
 	began := p.config.Clock.Now()
-	raw, err := Dial(server.Address, min(dialTimeout, left.Duration()))
+	raw, err := socket.Dial(server.Address, min(dialTimeout, left.Duration()))
 	p.count("origin.dials")
 	if err != nil {
 		p.unreserve(server)
