Run deployments of other shapes, and ignore objects on routes without affinity

Cause: only deployments of three regions were run without the kit; a route without affinity was still placed by the caller's cookie, which helps no server there. Change: the soak's fleet takes a layout; four are served under load: one domain, one instance, 30 instances, servers that report no load with routes without affinity.

--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -17,9 +17,24 @@
 )
 
 type (
+	// deployment is where instances and servers stand and what servers do.
+	deployment struct {
+		domains []domain
+		// instances and servers are dealt out to the domains in turn.
+		instances int
+		servers   int
+		// silent servers do not report their load.
+		silent bool
+		// scattered routes have no affinity.
+		scattered bool
+	}
+
+	domain struct{ name, region string }
+
 	// fleet is the instances of one test.
 	fleet struct {
 		t         *testing.T
+		layout    deployment
 		store     *store
 		ledger    *ledger
 		servers   []*backendServer
@@ -49,10 +64,13 @@
 )
 
 var (
-	binary     string
-	workspaces = []string{"big", "small", "gone"}
-	domains    = []struct{ name, region string }{{"n-a", "n"}, {"n-b", "n"}, {"s-a", "s"}, {"e-a", "e"}}
-	regions    = map[string]string{"n-a": "n", "n-b": "n", "s-a": "s", "e-a": "e"}
+	binary       string
+	workspaces   = []string{"big", "small", "gone"}
+	threeRegions = deployment{
+		domains:   []domain{{"n-a", "n"}, {"n-b", "n"}, {"s-a", "s"}, {"e-a", "e"}},
+		instances: 4,
+		servers:   8,
+	}
 )
 
 func TestMain(m *testing.M) {
@@ -71,19 +89,21 @@
 
 // newFleet starts instances, servers and the store, and waits until the
 // instances are ready.
-func newFleet(t *testing.T) *fleet {
+func newFleet(t *testing.T, layout deployment) *fleet {
 	t.Helper()
-	f := &fleet{t: t, ledger: &ledger{runs: make(map[string]int)}, keys: map[string]bool{"big": true, "small": true, "gone": true}}
+	f := &fleet{t: t, layout: layout, ledger: &ledger{runs: make(map[string]int)}, keys: map[string]bool{"big": true, "small": true, "gone": true}}
 	var address string
 	f.store, address = startStore(t)
-	for i := range 8 {
-		d := domains[i%len(domains)]
+	for i := range layout.servers {
+		d := layout.domains[i%len(layout.domains)]
 		b := startServer(t, fmt.Sprintf("i-%d", i), d.name, f.ledger)
+		b.silent = layout.silent
 		f.servers = append(f.servers, b)
 		f.store.put("servers", b.id, b.row("ready", 1))
 	}
 	f.configure()
-	for i, d := range domains {
+	for i := range layout.instances {
+		d := layout.domains[i%len(layout.domains)]
 		f.instances = append(f.instances, f.newInstance(i, d.name, d.region, address))
 	}
 	for _, in := range f.instances {
@@ -109,7 +129,7 @@
 	for name, kind := range map[string]string{"/safe/": "safe", "/unsafe/": "unsafe"} {
 		resources = append(resources, resource("routes", "r-"+kind, map[string]any{
 			"host": "a.example", "prefix": name, "kind": kind, "timeout": "1200ms", "slo": "400ms", "priority": 1,
-			"service": "desk", "maxAttempts": 2, "sessionAffinity": true,
+			"service": "desk", "maxAttempts": 2, "sessionAffinity": !f.layout.scattered,
 		}))
 	}
 	for _, w := range workspaces {
@@ -145,10 +165,14 @@
 		nodeFile: filepath.Join(f.t.TempDir(), "node.json"),
 		log:      filepath.Join(f.t.TempDir(), "log.json"),
 	}
+	regions := make(map[string]string)
+	for _, d := range f.layout.domains {
+		regions[d.name] = d.region
+	}
 	raw, err := json.Marshal(map[string]any{
 		"nodeName": in.name, "ip": ip, "zone": domain, "region": region, "zones": regions,
-		"listen":            map[string]string{"front": in.front, "ready": port(), "directory": in.directory, "control": port()},
-		"internalPortRange": []int{7220, 7235}, "limits": map[string]any{"memoryMb": 284},
+		"listen":    map[string]string{"front": in.front, "ready": port(), "directory": in.directory, "control": port()},
+		"bootstrap": true, "internalPortRange": []int{7220, 7235}, "limits": map[string]any{"memoryMb": 284},
 		"bounds":   []string{"grace=" + stopGrace.String(), "revoke=4s"},
 		"platform": map[string]any{"address": path, "form": "table"},
 	})
--- a/soak/server_test.go
+++ b/soak/server_test.go
@@ -34,6 +34,8 @@
 		ledger   *ledger
 		listener net.Listener
 		slots    chan struct{}
+		// silent servers do not report their load.
+		silent bool
 
 		mu     sync.Mutex
 		leftAt time.Time
@@ -144,8 +146,12 @@
 	b.ledger.note(id, string(request.Header.Peek("X-Bulrushferry-Tenant")), len(request.Header.Peek("X-Bulrushferry-Credential")) > 0, late)
 	time.Sleep(workTime)
 	body := "ran " + id
-	return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Bulrushferry-Request-Id: %s\r\nX-Bulrushferry-Response-Signature: %s\r\nX-Bulrushferry-Server-Load: %d,0,%d\r\nContent-Length: %s\r\n\r\n%s",
-		id, b.id, len(b.slots), serverSlots, strconv.Itoa(len(body)), body)
+	load := ""
+	if !b.silent {
+		load = fmt.Sprintf("X-Bulrushferry-Server-Load: %d,0,%d\r\n", len(b.slots), serverSlots)
+	}
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Bulrushferry-Request-Id: %s\r\nX-Bulrushferry-Response-Signature: %s\r\n%sContent-Length: %s\r\n\r\n%s",
+		id, b.id, load, strconv.Itoa(len(body)), body)
 }
 
 func (l *ledger) note(id, workspace string, key, late bool) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -108,7 +108,7 @@
 }
 
 func soakOnce(t *testing.T, seed uint64) {
-	f := newFleet(t)
+	f := newFleet(t, threeRegions)
 	random := rand.New(rand.NewPCG(seed, 0))
 	c := &callers{f: f, withdrawn: make(map[string]time.Time)}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -177,10 +177,39 @@
 	b.leave()
 }
 
+// TestOtherDeployments serves a load on deployments of other shapes: all that a
+// process knows of one comes from its settings and from the store.
+func TestOtherDeployments(t *testing.T) {
+	cases := map[string]deployment{
+		"one domain":              {domains: []domain{{"only", "one"}}, instances: 2, servers: 4},
+		"one instance":            {domains: []domain{{"only", "one"}}, instances: 1, servers: 3},
+		"30 instances":            {domains: threeRegions.domains, instances: 30, servers: 12},
+		"no load and no affinity": {domains: threeRegions.domains, instances: 4, servers: 8, silent: true, scattered: true},
+	}
+	for name, layout := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, layout)
+			c := &callers{f: f, withdrawn: make(map[string]time.Time)}
+			ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+			defer cancel()
+			c.run(ctx, 1)
+			broken := c.check(f.ledger)
+			sent, answered := c.served(time.Time{})
+			if sent == 0 || (sent-answered)*100 > sent {
+				broken = append(broken, fmt.Sprintf("%d of %d requests were answered", answered, sent))
+			}
+			t.Logf("%d requests, %d answered, by status: %v", sent, answered, c.statuses())
+			for _, b := range broken {
+				t.Error(b)
+			}
+		})
+	}
+}
+
 // TestPlannedStopsLoseNothing stops the instances one after the other under
 // load: every request that was sent gets its answer.
 func TestPlannedStopsLoseNothing(t *testing.T) {
-	f := newFleet(t)
+	f := newFleet(t, threeRegions)
 	c := &callers{f: f, withdrawn: make(map[string]time.Time)}
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
--- a/steering/handler.go
+++ b/steering/handler.go
@@ -114,7 +114,9 @@
 	}
 	j.deadline = j.began + h.timeLeft(j)
 	j.patience = h.patience(j)
-	j.object = h.object(header)
+	if j.route.Affinity {
+		j.object = h.object(header)
+	}
 	return true
 }
 
