--- a/origin/pool.go
+++ b/origin/pool.go
@@ -58,7 +58,8 @@
 const (
 	maxIdle       = 8 * clock.Second
 	maxUnsafeIdle = 5 * clock.Second
-	dialTimeout   = 600 * time.Millisecond
+	// dialTimeout is several times the way between the farthest regions.
+	dialTimeout = 350 * time.Millisecond
 )
 
 // NewPool returns a pool without connections.
