Split the run and the handler of steer, and show that logging never blocks

TestLogNeverBlocks writes 20,000 lines to a reader that takes none. No behaviour was meant to change.

--- /dev/null
+++ b/steering/log_test.go
@@ -0,0 +1,39 @@
+package steering
+
+import (
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// stalledOutput never takes a line.
+type stalledOutput struct{}
+
+func (stalledOutput) Write([]byte) (int, error) {
+	select {}
+}
+
+// TestLogNeverBlocks logs to a reader that has stalled: writing goes on at full
+// speed and the lines that are dropped are counted.
+func TestLogNeverBlocks(t *testing.T) {
+	const lines = 20_000
+	registry := metrics.NewRegistry()
+	log := newLog("i", newQueuedWriter(stalledOutput{}, registry))
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for i := range lines {
+			log.Info("request refused", "request", i)
+		}
+	}()
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		t.Fatal("logging blocked")
+	}
+	dropped := metrics.GetOrRegisterCounter("log.dropped", registry).Count()
+	if dropped < lines-2*(logQueue+maxLinesPerS) {
+		t.Errorf("%d of %d lines were counted as dropped", dropped, lines)
+	}
+}
--- a/steering/run.go
+++ b/steering/run.go
@@ -3,17 +3,13 @@
 import (
 	"context"
 	"io"
-	"math/rand/v2"
 	"net"
 	"os"
 	"os/signal"
 	"runtime/debug"
-	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
-	"github.com/bulrushferry/bulrushferry/clock"
 	"github.com/bulrushferry/bulrushferry/fleet"
 	"github.com/bulrushferry/bulrushferry/gateway"
 	"github.com/bulrushferry/bulrushferry/origin"
@@ -22,7 +18,6 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/joomcode/errorx"
 	"github.com/rcrowley/go-metrics"
-	"github.com/valyala/fasthttp"
 	"go.uber.org/dig"
 )
 
@@ -46,21 +41,10 @@
 const (
 	refreshInterval = 250 * time.Millisecond
 	pruneInterval   = time.Second
-	// announceRetry is the pause between tries to store this instance's entry.
-	announceRetry = 500 * time.Millisecond
-	announceTime  = 2 * time.Second
-	// joinFanOut is how many instances a new one asks for news; they name the
-	// others.
-	joinFanOut = 8
-	// joinWait is how long their answers are waited for.
-	joinWait = 300 * time.Millisecond
-	// joinPatience is how long an instance looks for others before it acts alone.
-	joinPatience = 3 * time.Second
 	// stopReserve is kept between the end of serving and the hard stop.
 	stopReserve = 700 * time.Millisecond
 	// idleRetire is how long before the end idle connections are closed.
 	idleRetire = 1500 * time.Millisecond
-	lookupAge  = 2 * clock.Second
 	// memoryPercent is the part of the memory limit that the collector aims at.
 	memoryPercent = 70
 	mebibyte      = 1 << 20
@@ -98,17 +82,13 @@
 	if err := p.serveSurfaces(); err != nil {
 		return err
 	}
-	var group sync.WaitGroup
-	group.Go(func() { p.Transport.Serve(background, p.handlePeer) })
-	for _, replica := range []*fleet.Replica{p.Knowledge.Rules, p.Knowledge.Servers} {
-		group.Go(func() {
-			p.Adapter.Store.Follow(background, replica, func() bool { return p.Membership.asksStore(replica) })
-		})
-	}
-	group.Go(func() { p.join(background) })
-	group.Go(func() { p.Gossip.Run(background) })
-	group.Go(func() { p.Rates.Run(background) })
-	group.Go(func() { p.refresh(background) })
+	go p.Transport.Serve(background, p.handlePeer)
+	go p.follow(background, p.Knowledge.Rules)
+	go p.follow(background, p.Knowledge.Servers)
+	go p.join(background)
+	go p.Gossip.Run(background)
+	go p.Rates.Run(background)
+	go p.refresh(background)
 	go func() { _ = p.Callers.Serve(callers) }()
 	p.watchHangup(background)
 	p.Log.Info("entry instance runs", "incarnation", p.Members.Self().GetIncarnation(), "callers", p.Adapter.Settings.CallerAddress)
@@ -121,47 +101,13 @@
 	return nil
 }
 
-// logFlush is how long the last log lines get to be written.
-const logFlush = 20 * time.Millisecond
-
-// serveSurfaces opens the addresses for look-ups, checks and metrics.
-func (p parts) serveSurfaces() error {
-	s := p.Adapter.Settings
-	age := min(lookupAge, s.Bounds.LookupAge)
-	handlers := map[string]fasthttp.RequestHandler{
-		s.DirectoryAddress: p.Adapter.Surface.Directory(p.entries, age),
-		s.ReadyAddress:     p.Adapter.Surface.Ready(p.isReady),
-		s.MetricsAddress:   p.serveMetrics,
-	}
-	for address, handler := range handlers {
-		if address == "" {
-			continue
-		}
-		listener, err := listen(address)
-		if err != nil {
-			return err
-		}
-		server := &fasthttp.Server{Handler: handler, NoDefaultServerHeader: true, CloseOnShutdown: true}
-		go func() {
-			if err := server.Serve(listener); err != nil {
-				p.Log.Error("serving failed", "address", address, "error", err.Error())
-			}
-		}()
-	}
-	return nil
-}
-
-func (p parts) serveMetrics(ctx *fasthttp.RequestCtx) {
-	metrics.WriteOnce(p.Metrics, ctx)
+// follow keeps a replica up to date from the platform's store.
+func (p parts) follow(ctx context.Context, replica *fleet.Replica) {
+	p.Adapter.Store.Follow(ctx, replica, func() bool { return p.Membership.asksStore(replica) })
 }
 
-func listen(address string) (net.Listener, error) {
-	listener, err := net.Listen("tcp4", address)
-	if err != nil {
-		return nil, errListen.Wrap(err, "opening %s", address)
-	}
-	return listener, nil
-}
+// logFlush is how long the last log lines get to be written.
+const logFlush = 20 * time.Millisecond
 
 // handlePeer answers a peer.
 func (p parts) handlePeer(ctx context.Context, request *wire.PeerRequest) *wire.PeerResponse {
@@ -175,93 +121,6 @@
 	}
 }
 
-// join makes this instance known and finds the others, first through the
-// platform's store; seeds are asked as long as it does not answer. The instance
-// acts once it has heard the others, so that it knows its part of the limits.
-func (p parts) join(ctx context.Context) {
-	began := time.Now()
-	announced := false
-	for ctx.Err() == nil {
-		if !announced {
-			announced = p.announce(ctx)
-		}
-		if announced && p.discover(ctx) {
-			p.joined("the platform's list")
-			return
-		}
-		if p.askAll(ctx, p.Adapter.Settings.Seeds) > 0 {
-			p.joined("a seed")
-		}
-		if time.Since(began) > joinPatience {
-			p.joined("nobody")
-		}
-		sleep(ctx, announceRetry)
-	}
-}
-
-// joined lets the instance act.
-func (p parts) joined(through string) {
-	p.Membership.refresh()
-	if p.Knowledge.Join() {
-		p.Log.Info("joined the fleet", "through", through, "instances", p.Membership.count())
-	}
-}
-
-// askAll asks peers for news at once and returns how many answered soon. Peers
-// that are just starting themselves are not waited for.
-func (p parts) askAll(ctx context.Context, addresses []string) int {
-	var group sync.WaitGroup
-	var answered atomic.Int64
-	for _, address := range addresses {
-		if address == p.Adapter.Settings.PeerAddress {
-			continue
-		}
-		group.Go(func() {
-			if p.Gossip.Ask(ctx, address) {
-				answered.Add(1)
-			}
-		})
-	}
-	done := make(chan struct{})
-	go func() {
-		group.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-time.After(joinWait):
-	}
-	return int(answered.Load())
-}
-
-func (p parts) announce(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, announceTime)
-	defer cancel()
-	if err := p.Adapter.Store.Announce(ctx, p.Members.Self()); err != nil {
-		p.Log.Warn("this instance's entry is not stored yet", "error", err.Error())
-		return false
-	}
-	return true
-}
-
-// discover asks all instances that have an entry for news.
-func (p parts) discover(ctx context.Context) bool {
-	listCtx, cancel := context.WithTimeout(ctx, announceTime)
-	defer cancel()
-	list, err := p.Adapter.Store.Instances(listCtx)
-	if err != nil {
-		p.Log.Warn("the entries of the instances cannot be read", "error", err.Error())
-		return false
-	}
-	addresses := make([]string, 0, len(list))
-	for _, info := range list {
-		addresses = append(addresses, info.GetPeerAddress())
-	}
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	p.askAll(ctx, addresses[:min(len(addresses), joinFanOut)])
-	return true
-}
-
 // refresh follows who runs and whether this instance may take requests.
 func (p parts) refresh(ctx context.Context) {
 	prune := time.Now()
@@ -278,40 +137,6 @@
 	}
 }
 
-func (p parts) isReady() bool {
-	return !p.Members.Self().GetStopping() && p.Knowledge.MayAct()
-}
-
-// entries returns the addresses of the instances that a caller is to use: those
-// of its failure domain; where none runs there, those of its region, or all.
-func (p parts) entries(region, domain string) []string {
-	var here, near, all []string
-	running := p.Members.Alive(clock.Boot{}.Now())
-	if p.isReady() {
-		self := p.Members.Self()
-		self.Ready = true
-		running = append(running, self)
-	}
-	for _, info := range running {
-		if info.GetStopping() || !info.GetReady() {
-			continue
-		}
-		all = append(all, info.GetCallerAddress())
-		if info.GetRegion() == region {
-			near = append(near, info.GetCallerAddress())
-		}
-		if info.GetFailureDomain() == domain {
-			here = append(here, info.GetCallerAddress())
-		}
-	}
-	for _, addresses := range [][]string{here, near} {
-		if len(addresses) > 0 {
-			return addresses
-		}
-	}
-	return all
-}
-
 // stop carries out a graceful shutdown: callers are sent elsewhere, and what
 // runs is finished.
 func (p parts) stop(callers net.Listener) {
--- /dev/null
+++ b/steering/surfaces.go
@@ -0,0 +1,85 @@
+package steering
+
+import (
+	"net"
+
+	"github.com/bulrushferry/bulrushferry/clock"
+	"github.com/rcrowley/go-metrics"
+	"github.com/valyala/fasthttp"
+)
+
+// lookupAge is how long callers may keep a look-up.
+const lookupAge = 2 * clock.Second
+
+// serveSurfaces opens the addresses for look-ups, checks and metrics.
+func (p parts) serveSurfaces() error {
+	s := p.Adapter.Settings
+	age := min(lookupAge, s.Bounds.LookupAge)
+	handlers := map[string]fasthttp.RequestHandler{
+		s.DirectoryAddress: p.Adapter.Surface.Directory(p.entries, age),
+		s.ReadyAddress:     p.Adapter.Surface.Ready(p.isReady),
+		s.MetricsAddress:   p.serveMetrics,
+	}
+	for address, handler := range handlers {
+		if address == "" {
+			continue
+		}
+		listener, err := listen(address)
+		if err != nil {
+			return err
+		}
+		server := &fasthttp.Server{Handler: handler, NoDefaultServerHeader: true, CloseOnShutdown: true}
+		go func() {
+			if err := server.Serve(listener); err != nil {
+				p.Log.Error("serving failed", "address", address, "error", err.Error())
+			}
+		}()
+	}
+	return nil
+}
+
+func (p parts) serveMetrics(ctx *fasthttp.RequestCtx) {
+	metrics.WriteOnce(p.Metrics, ctx)
+}
+
+func listen(address string) (net.Listener, error) {
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		return nil, errListen.Wrap(err, "opening %s", address)
+	}
+	return listener, nil
+}
+
+func (p parts) isReady() bool {
+	return !p.Members.Self().GetStopping() && p.Knowledge.MayAct()
+}
+
+// entries returns the addresses of the instances that a caller is to use: those
+// of its failure domain; where none runs there, those of its region, or all.
+func (p parts) entries(region, domain string) []string {
+	var here, near, all []string
+	running := p.Members.Alive(clock.Boot{}.Now())
+	if p.isReady() {
+		self := p.Members.Self()
+		self.Ready = true
+		running = append(running, self)
+	}
+	for _, info := range running {
+		if info.GetStopping() || !info.GetReady() {
+			continue
+		}
+		all = append(all, info.GetCallerAddress())
+		if info.GetRegion() == region {
+			near = append(near, info.GetCallerAddress())
+		}
+		if info.GetFailureDomain() == domain {
+			here = append(here, info.GetCallerAddress())
+		}
+	}
+	for _, addresses := range [][]string{here, near} {
+		if len(addresses) > 0 {
+			return addresses
+		}
+	}
+	return all
+}
