Keep a stopping instance stopping, and its part for as long as it may serve

Cause: reading the change. The periodic check read whether the instance stops and wrote it back with its readiness, so a SIGTERM between the two was undone for the peers. A silent instance kept its part of the limits for 6 s whatever the authority term of the settings was. Change: readiness and stopping are set apart; the part is kept for the term and a second more. Conclusion: mended by reading.

--- a/fleet/members.go
+++ b/fleet/members.go
@@ -13,6 +13,10 @@
 	// Members is what this instance knows of the others. It is safe for
 	// concurrent use.
 	Members struct {
+		// sharesFor is how long a silent instance keeps its part of the limits.
+		// It must have stopped serving by itself before that.
+		sharesFor clock.Millis
+
 		mu   sync.Mutex
 		self *wire.FleetInstance
 		// others holds one entry an instance, by its name.
@@ -29,16 +33,16 @@
 const (
 	// aliveFor is how long an instance counts as running after it was heard.
 	aliveFor = 1800 * clock.Millis(1)
-	// sharesFor is how long a silent instance keeps its part of the limits. It
-	// stops serving by itself before that.
-	sharesFor = 6 * clock.Second
+	// sharesMargin covers the time that news of an instance takes.
+	sharesMargin = clock.Second
 	// rememberedFor is how long a silent instance counts in the majority.
 	rememberedFor = 60 * clock.Second
 )
 
-// NewMembers returns the members known to a fresh process: itself.
-func NewMembers(self *wire.FleetInstance) *Members {
-	return &Members{self: self, others: make(map[string]*member)}
+// NewMembers returns the members known to a fresh process: itself. Term is how
+// long an instance that hears nothing goes on serving.
+func NewMembers(self *wire.FleetInstance, term clock.Millis) *Members {
+	return &Members{self: self, sharesFor: term + sharesMargin, others: make(map[string]*member)}
 }
 
 // Self returns this instance's own entry.
@@ -48,13 +52,21 @@
 	return proto.CloneOf(m.self)
 }
 
-// SetSelf changes this instance's own state.
-func (m *Members) SetSelf(ready, stopping bool) {
+// SetReady says whether this instance takes requests. One that stops never does.
+func (m *Members) SetReady(ready bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.self = proto.CloneOf(m.self)
+	m.self.Ready = ready && !m.self.GetStopping()
+}
+
+// SetStopping says that this instance is to end.
+func (m *Members) SetStopping() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.self = proto.CloneOf(m.self)
-	m.self.Ready = ready
-	m.self.Stopping = stopping
+	m.self.Ready = false
+	m.self.Stopping = true
 }
 
 // Heard takes in an entry that was true at a moment. It reports whether the
@@ -82,7 +94,7 @@
 // the limits, this one among them; one that stops by plan gives its part up.
 func (m *Members) Sharing(now clock.Millis) []string {
 	names := []string{m.Self().GetInstance()}
-	for _, info := range m.within(now, sharesFor) {
+	for _, info := range m.within(now, m.sharesFor) {
 		if !info.GetStopping() {
 			names = append(names, info.GetInstance())
 		}
--- a/fleet/replica_test.go
+++ b/fleet/replica_test.go
@@ -134,7 +134,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			now := 100 * clock.Second
-			m := NewMembers(&wire.FleetInstance{Instance: "self"})
+			m := NewMembers(&wire.FleetInstance{Instance: "self"}, 5*clock.Second)
 			for i, age := range c.ages {
 				m.Heard(&wire.FleetInstance{Instance: fmt.Sprint(i), Stopping: c.stopping}, now-age)
 			}
@@ -144,3 +144,28 @@
 		})
 	}
 }
+
+// TestStoppingStays has the state of a stopping instance renewed by a check that
+// began before: it must not count as running again.
+func TestStoppingStays(t *testing.T) {
+	m := NewMembers(&wire.FleetInstance{Instance: "self"}, 5*clock.Second)
+	m.SetReady(true)
+	m.SetStopping()
+	m.SetReady(true)
+	if self := m.Self(); self.GetReady() || !self.GetStopping() {
+		t.Errorf("ready %v, stopping %v", self.GetReady(), self.GetStopping())
+	}
+}
+
+// TestSharesOutlastTheTerm checks that a silent instance keeps its part of the
+// limits for as long as it may still be serving.
+func TestSharesOutlastTheTerm(t *testing.T) {
+	const term = 8 * clock.Second
+	m := NewMembers(&wire.FleetInstance{Instance: "self"}, term)
+	m.Heard(&wire.FleetInstance{Instance: "other"}, 0)
+	for at, want := range map[clock.Millis]int{term: 2, term + 2*clock.Second: 1} {
+		if got := len(m.Sharing(at)); got != want {
+			t.Errorf("%d instances share the limits after %d ms, want %d", got, at, want)
+		}
+	}
+}
--- a/steering/decisions_test.go
+++ b/steering/decisions_test.go
@@ -50,7 +50,7 @@
 func newTestKnowledge() testKnowledge {
 	boot := &clock.Manual{}
 	boot.Set(100 * clock.Second)
-	members := fleet.NewMembers(&wire.FleetInstance{Instance: "self"})
+	members := fleet.NewMembers(&wire.FleetInstance{Instance: "self"}, 5*clock.Second)
 	k := NewKnowledge(KnowledgeConfig{
 		Boot: boot, Clock: boot, Log: hclog.NewNullLogger(), Metrics: metrics.NewRegistry(), Decoder: plainDecoder{},
 		Table: placement.NewTable(placement.TableConfig{}), Members: members, Term: 5 * clock.Second,
--- a/steering/run.go
+++ b/steering/run.go
@@ -125,7 +125,7 @@
 func (p parts) refresh(ctx context.Context) {
 	prune := time.Now()
 	for ctx.Err() == nil {
-		p.Members.SetSelf(p.isReady(), p.Members.Self().GetStopping())
+		p.Members.SetReady(p.isReady())
 		p.Membership.refresh()
 		p.Knowledge.NoteAge()
 		p.Rates.Follow(p.Knowledge.Workspaces())
@@ -143,7 +143,7 @@
 	began := time.Now()
 	grace := p.Adapter.Settings.Bounds.StopTimeout.Duration()
 	p.Log.Info("stopping", "grace_ms", grace.Milliseconds())
-	p.Members.SetSelf(false, true)
+	p.Members.SetStopping()
 	p.Gossip.Spread()
 	p.Callers.Retire()
 	time.Sleep(max(0, grace-stopReserve-idleRetire))
--- a/steering/wiring.go
+++ b/steering/wiring.go
@@ -67,7 +67,7 @@
 		PeerAddress:   s.PeerAddress,
 		CallerAddress: s.CallerAddress,
 		LinkMbitPerS:  int32(s.LinkMbitPerS),
-	}), nil
+	}, s.Bounds.Authority), nil
 }
 
 func newTable(s Settings, crashes *placement.Crashes) *placement.Table {
