Let the priority of a route or workspace decide who waits

Cause: reading the change: the priorities of the configuration were decoded and used nowhere, and so was the path of the health check. Test: TestUrgentRequestsWaitLonger.

--- a/routing/config.go
+++ b/routing/config.go
@@ -52,8 +52,7 @@
 
 	// Service is a service's limits.
 	Service struct {
-		Name       string
-		HealthPath string
+		Name string
 		// MaxConnections bounds a server's connections from all instances.
 		MaxConnections int
 		// ColdStart is how long a server stays cold after its start.
--- a/steering/decisions_test.go
+++ b/steering/decisions_test.go
@@ -225,3 +225,16 @@
 		t.Errorf("%d admitted, most %d", admitted, most)
 	}
 }
+
+// TestUrgentRequestsWaitLonger checks that the rank of a route, or of a workspace
+// before it, decides who is turned away first under load.
+func TestUrgentRequestsWaitLonger(t *testing.T) {
+	route := &routing.Route{Priority: 2}
+	workspace := &routing.Workspace{Priority: values.Some(0)}
+	if urgent, other := impatience(route.Urgency(workspace)), impatience(route.Urgency(nil)); urgent <= other {
+		t.Errorf("an urgent workspace's requests wait %d %% of the objective, others %d %%", urgent, other)
+	}
+	if least := impatience(1000); least < 50 {
+		t.Errorf("the least urgent requests wait only %d %% of the objective", least)
+	}
+}
--- a/steering/handler.go
+++ b/steering/handler.go
@@ -157,9 +157,21 @@
 	if j.route.CameBack(clock.Millis(asked)) {
 		return j.route.Timeout
 	}
-	return j.route.Objective
+	return j.route.Objective * impatience(j.route.Urgency(j.workspace)) / 100
 }
 
+// impatience returns the part of the objective, in percent, that a request of a
+// rank waits: under load the less urgent ones are turned away first.
+func impatience(rank int) clock.Millis {
+	return 100 - urgencyStep*clock.Millis(min(max(rank, 0), maxUrgencySteps))
+}
+
+const (
+	// urgencyStep is how much of the objective each rank gives up, in percent.
+	urgencyStep     = 8
+	maxUrgencySteps = 4
+)
+
 // defaultTimeout bounds requests on routes without a timeout.
 const defaultTimeout = 30 * clock.Second
 
