Do not vouch for a stopped incarnation's actions that may be forgotten

The heir of a stopped incarnation took "not in the list" for "never ran" for ever. An action that ran was pruned after three epochs, by the heir or before the hand-over, and a resend was then refused as not run. The name's epoch was checked only for the process's own incarnation. Ruled out: a second run (the heir never runs inherited names); a wrong key (the same request got its replay before the epochs passed). Change: a name under an inherited prefix is Expired (answer "unknown") one epoch before it would be forgotten, which bears a clock of the stopped incarnation that was up to an epoch ahead. Stopped incarnations are forgotten an epoch after their actions; the set grew without bound before.

--- a/once/table.go
+++ b/once/table.go
@@ -45,9 +45,11 @@
 	Table struct {
 		config TableConfig
 
-		mu        sync.Mutex
-		actions   map[string]*entry
-		inherited map[string]struct{}
+		mu      sync.Mutex
+		actions map[string]*entry
+		// inherited holds the epoch in which each stopped incarnation handed
+		// over its actions.
+		inherited map[string]int64
 	}
 
 	entry struct {
@@ -69,7 +71,8 @@
 	Replay
 	// Conflict means that the name was used for another request.
 	Conflict
-	// Expired means that the name's epoch is over, so the action may have run.
+	// Expired means that the action may have run and been forgotten since, for
+	// the name's epoch is over.
 	Expired
 	// Foreign means that another incarnation runs the action.
 	Foreign
@@ -85,7 +88,7 @@
 	return &Table{
 		config:    config,
 		actions:   make(map[string]*entry),
-		inherited: make(map[string]struct{}),
+		inherited: make(map[string]int64),
 	}
 }
 
@@ -101,7 +104,7 @@
 		return known.ticket(request)
 	}
 	if _, ok := t.inherited[name.Incarnation]; ok {
-		return Ticket{Decision: NeverRun}
+		return inheritedTicket(now, name)
 	}
 	if name.Incarnation != t.config.Incarnation {
 		return Ticket{Decision: Foreign}
@@ -161,7 +164,7 @@
 func (t *Table) Inherit(now clock.Millis, incarnation string, actions []*wire.FinishedAction) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.inherited[incarnation] = struct{}{}
+	t.inherited[incarnation] = EpochAt(now)
 	for _, action := range actions {
 		request := Request{
 			Action:      action.GetAction(),
@@ -180,15 +183,21 @@
 	}
 }
 
-// Prune forgets the actions whose epochs are over.
+// Prune forgets the actions whose epochs are over, and an epoch later the stopped
+// incarnations that handed them over.
 func (t *Table) Prune(now clock.Millis) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for k, known := range t.actions {
-		if known.finished != nil && known.epoch+epochsKept <= EpochAt(now) {
+		if known.finished != nil && isOver(known.epoch, now) {
 			delete(t.actions, k)
 		}
 	}
+	for incarnation, epoch := range t.inherited {
+		if isOver(epoch, now-EpochLength) {
+			delete(t.inherited, incarnation)
+		}
+	}
 }
 
 // Len returns the number of remembered actions.
@@ -199,7 +208,7 @@
 }
 
 func (t *Table) begin(now clock.Millis, request Request, epoch int64) Ticket {
-	if epoch > EpochAt(now) || epoch+epochsKept <= EpochAt(now) {
+	if epoch > EpochAt(now) || isOver(epoch, now) {
 		return Ticket{Decision: Expired}
 	}
 	if len(t.actions) >= t.config.MaxActions {
@@ -210,6 +219,21 @@
 	return Ticket{Decision: Run, Done: started.done}
 }
 
+// inheritedTicket decides on an action of a stopped incarnation that is not in
+// its list. The stopped incarnation may have forgotten actions by a clock that
+// was ahead of this one, so the last epoch is not vouched for.
+func inheritedTicket(now clock.Millis, name Name) Ticket {
+	if isOver(name.Epoch, now+EpochLength) {
+		return Ticket{Decision: Expired}
+	}
+	return Ticket{Decision: NeverRun}
+}
+
+// isOver reports whether the actions of an epoch need not be remembered.
+func isOver(epoch int64, now clock.Millis) bool {
+	return epoch+epochsKept <= EpochAt(now)
+}
+
 func (t *Table) trim(answer *wire.FinishedAction) *wire.FinishedAction {
 	if len(answer.GetResponse()) <= t.config.MaxResponseBytes {
 		return answer
--- a/once/table_test.go
+++ b/once/table_test.go
@@ -106,6 +106,37 @@
 	m.tables["b-2"].Inherit(m.now, "a-1", m.tables["a-1"].Finished())
 }
 
+// TestForgottenActionsAreNotSaidToBeNew asks the heir of a stopped incarnation
+// for an action that ran, before and after the time for which it is remembered.
+func TestForgottenActionsAreNotSaidToBeNew(t *testing.T) {
+	const epoch = 100
+	began := clock.Millis(epoch) * EpochLength
+	cases := map[string]struct {
+		// handedOver and asked are how long after the run these happen.
+		handedOver, asked clock.Millis
+		want              Decision
+	}{
+		"soon after":                          {handedOver: 0, asked: clock.Second, want: Replay},
+		"forgotten by the heir":               {handedOver: 0, asked: 3 * EpochLength, want: Expired},
+		"forgotten before the hand-over":      {handedOver: 3 * EpochLength, asked: 3 * EpochLength, want: Expired},
+		"forgotten, and the heir runs behind": {handedOver: 3 * EpochLength, asked: 2 * EpochLength, want: Expired},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			request := Request{Action: Prefix("a-1", epoch) + "1", Workspace: "w", Fingerprint: []byte{1}}
+			first, heir := newTestTable("a-1"), newTestTable("b-2")
+			first.Begin(began, request)
+			first.End(request, finished(request, wire.Outcome_OUTCOME_DONE))
+			first.Prune(began + c.handedOver)
+			heir.Inherit(began+min(c.handedOver, c.asked), "a-1", first.Finished())
+			heir.Prune(began + c.asked)
+			if got := heir.Begin(began+c.asked, request).Decision; got != c.want {
+				t.Errorf("decision %d, want %d", got, c.want)
+			}
+		})
+	}
+}
+
 func TestParseName(t *testing.T) {
 	cases := map[string]bool{
 		Prefix("sierra-1-abc", 12) + "x": true,
