Order the soak's own writes of the configuration and its servers' restarts

The fault "configuration" and the planned withdrawal of a key both wrote the next configuration, unordered: the version and the set of keys were shared, and an older version could reach the store after a newer one. Two crashes of the same stand-in server at once shared its listener in the same way. Ruled out: a race in the program; both stacks lie in fleet.configure, called by the fault and by withdraw. Change: one lock orders versions and their writes; a server's restarts are ordered like an instance's. Conclusion: mended; no check is changed.

--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -39,7 +39,11 @@
 		ledger    *ledger
 		servers   []*backendServer
 		instances []*instance
-		version   int64
+
+		// mu guards what the configuration is made of, and orders its versions
+		// in the store.
+		mu      sync.Mutex
+		version int64
 		// keys are the workspaces whose keys are in the configuration.
 		keys map[string]bool
 	}
@@ -119,8 +123,14 @@
 	return f
 }
 
-// configure stores the next version of the configuration.
-func (f *fleet) configure() {
+// configure stores the next version of the configuration, without the keys of
+// some workspaces from now on.
+func (f *fleet) configure(withdrawn ...string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, workspace := range withdrawn {
+		f.keys[workspace] = false
+	}
 	f.version++
 	resources := []map[string]any{
 		resource("services", "desk", map[string]any{"healthPath": "/health", "maxConns": 300, "coldStart": "1s", "coldPerS": 50.0}),
--- a/soak/server_test.go
+++ b/soak/server_test.go
@@ -28,18 +28,20 @@
 
 	// backendServer stands in for a backend server with slots.
 	backendServer struct {
-		id       string
-		address  string
-		domain   string
-		ledger   *ledger
-		listener net.Listener
-		slots    chan struct{}
+		id      string
+		address string
+		domain  string
+		ledger  *ledger
+		slots   chan struct{}
 		// silent servers do not report their load.
 		silent bool
 
-		mu     sync.Mutex
-		leftAt time.Time
-		conns  map[net.Conn]struct{}
+		// life orders restarts.
+		life     sync.Mutex
+		mu       sync.Mutex
+		listener net.Listener
+		leftAt   time.Time
+		conns    map[net.Conn]struct{}
 	}
 )
 
@@ -55,19 +57,21 @@
 func startServer(t *testing.T, id, domain string, l *ledger) *backendServer {
 	t.Helper()
 	b := &backendServer{id: id, domain: domain, ledger: l, slots: make(chan struct{}, serverSlots), conns: make(map[net.Conn]struct{})}
-	if err := b.open("127.0.0.1:0"); err != nil {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
 		t.Fatal(err)
 	}
+	b.address = listener.Addr().String()
+	b.open(listener)
 	t.Cleanup(b.crash)
 	return b
 }
 
-func (b *backendServer) open(address string) error {
-	listener, err := net.Listen("tcp4", address)
-	if err != nil {
-		return err
-	}
-	b.listener, b.address = listener, listener.Addr().String()
+// open takes connections from a listener.
+func (b *backendServer) open(listener net.Listener) {
+	b.mu.Lock()
+	b.listener = listener
+	b.mu.Unlock()
 	go func() {
 		for {
 			c, err := listener.Accept()
@@ -77,14 +81,27 @@
 			go b.serve(c)
 		}
 	}()
-	return nil
+}
+
+// restart crashes the server and has it back at its address after a while.
+func (b *backendServer) restart(t *testing.T, down time.Duration) {
+	b.life.Lock()
+	defer b.life.Unlock()
+	b.crash()
+	time.Sleep(down)
+	listener, err := net.Listen("tcp4", b.address)
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	b.open(listener)
 }
 
 // crash closes the listener and resets all connections.
 func (b *backendServer) crash() {
-	_ = b.listener.Close()
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	_ = b.listener.Close()
 	for c := range b.conns {
 		_ = c.(*net.TCPConn).SetLinger(0)
 		_ = c.Close()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -19,7 +20,9 @@
 )
 
 // failedSeeds are the seeds that have failed, with the cause of each.
-var failedSeeds = map[uint64]string{}
+var failedSeeds = map[uint64]string{
+	1796390806653043869: "the test itself wrote two configurations at once",
+}
 
 // recoveryTime is how long after the last fault callers may still be refused.
 const recoveryTime = 6 * time.Second
@@ -66,12 +69,7 @@
 	},
 	"server crashes": func(f *fleet, random *rand.Rand, span time.Duration) {
 		b := f.servers[random.IntN(len(f.servers)/2)]
-		address := b.address
-		b.crash()
-		time.Sleep(span / 2)
-		if err := b.open(address); err != nil {
-			f.t.Error(err)
-		}
+		b.restart(f.t, span/2)
 		f.store.put("servers", b.id, b.row("ready", time.Now().UnixMilli()))
 	},
 }
@@ -98,9 +96,7 @@
 			seeds = append(seeds, *seedFlag+uint64(i))
 		}
 	} else {
-		for seed := range failedSeeds {
-			seeds = append(seeds, seed)
-		}
+		seeds = slices.AppendSeq(seeds, maps.Keys(failedSeeds))
 	}
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { soakOnce(t, seed) })
@@ -165,8 +161,7 @@
 // withdraw takes a workspace's key away. The bound counts from when the store is
 // well again, for the run may have begun an outage.
 func (f *fleet) withdraw(workspace string, c *callers) {
-	f.keys[workspace] = false
-	f.configure()
+	f.configure(workspace)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.withdrawn[workspace] = time.Now()
