Leave an object's full servers for a free slot, and refuse nothing on a guess

Logs gave two reasons. A fresh instance refused on guessed times (1.5 times the objective for a cold run, 200 ms for a warm one, where 15 ms are true). Then the two servers of an object were full, declined, and the retries that this took spent the budget while a third server had free slots. The load was estimated as the last report plus all sent since, too high when several answers come together. Ruled out: a wrong bound (slots were free at each refusal); the budget (a declined request counts as an arrival by the users' rules). Change: requests are not refused for waiting before five answers are known; a choice that would wait gives way to a server with a free slot which answers earlier and within the objective; a server that declines counts as full at that load, one more each 500 ms; the load of others is the report less what is in flight from here. Tests: TestGuessedTimesRefuseNothing and TestFreeSlotsRelieve failed before. TestFullServersRefuse now teaches the table its times first; its checks stay.

--- a/placement/choose.go
+++ b/placement/choose.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"sort"
 
@@ -66,6 +67,8 @@
 		raw  clock.Millis
 		time clock.Millis
 		wait clock.Millis
+		// guessed is set while too few answers have shown how long work takes.
+		guessed bool
 	}
 )
 
@@ -81,7 +84,7 @@
 	settledAge = 6 * clock.Second
 	// retrySpread spreads callers that are told to come back.
 	retrySpread = 120
-	// declineDelay is added for a server that has just declined a request.
+	// declineDelay is added for a server that is expected to decline.
 	declineDelay = 150 * clock.Millis(1)
 	// coldFactor is how much longer a cold server takes.
 	coldFactor = 2
@@ -96,12 +99,12 @@
 func (t *Table) Choose(now clock.Millis, q Query) (*Choice, *Refusal) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	best := t.best(now, q)
+	best := t.relieve(now, q, t.best(now, q))
 	if best == nil {
 		return nil, &Refusal{Reason: "no backend server of service " + q.Service + " may take the request", RetryAfter: noServerRetry}
 	}
 	r := best.record
-	if best.time > q.Left || (best.wait > 0 && best.time > q.Patience) {
+	if best.time > q.Left || (best.wait > 0 && !best.guessed && best.time > q.Patience) {
 		t.copiesOf(now, q.Service).refused = true
 		over := best.time - min(q.Left, q.Patience)
 		return nil, &Refusal{
@@ -121,7 +124,6 @@
 		raw: best.raw, calm: r.load(now) < r.info.Slots && !cold,
 	}
 	r.inFlight++
-	r.sentSince++
 	if q.Object != 0 {
 		r.remember(q.Object, now)
 	}
@@ -146,6 +148,51 @@
 	return best
 }
 
+// relieve returns a server with a free slot in place of a choice that would wait,
+// where the answer comes from there earlier and within the objective.
+func (t *Table) relieve(now clock.Millis, q Query, best *candidate) *candidate {
+	if best == nil || best.wait == 0 {
+		return best
+	}
+	idle := t.idle(now, q)
+	if idle == nil || idle.time > q.Objective || idle.time+t.cost(idle) >= best.time+t.cost(best) {
+		return best
+	}
+	return idle
+}
+
+// idle returns the server with a free slot that comes first for the object among
+// those from which the answer is expected first.
+func (t *Table) idle(now clock.Millis, q Query) *candidate {
+	s := t.services[q.Service]
+	if s == nil {
+		return nil
+	}
+	var best *candidate
+	for _, region := range s.regions {
+		for _, r := range region.servers {
+			if r.load(now) >= r.info.Slots || r.isFull(now) || !t.usable(now, q, r, true) {
+				continue
+			}
+			c := &candidate{record: r, score: mix(q.Object, r.hash), warm: q.Object == 0 || r.isWarmFor(q.Object, now)}
+			t.expect(now, q, c)
+			if best == nil || t.before(c, best) {
+				best = c
+			}
+		}
+	}
+	return best
+}
+
+// before reports whether one candidate is to be preferred to another: the one
+// with the shorter time, and of equal ones the first for the object.
+func (t *Table) before(a, b *candidate) bool {
+	if order := cmp.Compare(a.time+t.cost(a), b.time+t.cost(b)); order != 0 {
+		return order < 0
+	}
+	return a.score > b.score
+}
+
 // cost returns the gain in time that a candidate must bring over one in this
 // instance's failure domain.
 func (t *Table) cost(c *candidate) clock.Millis {
@@ -249,10 +296,12 @@
 func (t *Table) expect(now clock.Millis, q Query, c *candidate) {
 	r := c.record
 	times := t.times(q)
-	work := times.cold.value()
+	usual := &times.cold
 	if c.warm {
-		work = times.warm.value()
+		usual = &times.warm
 	}
+	work := usual.value()
+	c.guessed = !usual.known()
 	if r.isCold(now) {
 		work = max(work, times.cold.value()) * coldFactor
 	}
@@ -261,7 +310,7 @@
 	c.raw = work + wait
 	c.wait = clock.Millis(float64(wait) * r.bias)
 	c.time = clock.Millis(float64(c.raw)*r.bias) + t.distance[r.info.Region]
-	if now < r.fullUntil {
+	if r.isFull(now) {
 		c.time += declineDelay
 		c.wait += declineDelay
 	}
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -22,9 +22,10 @@
 		all  average
 	}
 
-	// average is a moving average of times.
+	// average is a moving average of times that begins with a guess.
 	average struct {
-		ms float64
+		ms      float64
+		samples int
 	}
 )
 
@@ -49,6 +50,8 @@
 
 const (
 	averageWeight = 0.05
+	// knownSamples is how many samples an average is relied on from.
+	knownSamples = 5
 	// declinedWeight is the weight of a declined request in a server's health.
 	declinedWeight = 0.05
 	// warmGuess and coldGuess are the first guesses in parts of the objective.
@@ -82,9 +85,7 @@
 	r := c.record
 	r.inFlight--
 	if report.HasLoad {
-		r.reported = report.Load
-		r.reportedAt = now
-		r.sentSince = 0
+		r.report(now, report.Load)
 	}
 	switch report.Outcome {
 	case Answered:
@@ -95,7 +96,7 @@
 		r.noteHealth(now, 1, unwellWeight)
 	case Declined:
 		r.failures = 0
-		r.fullUntil = now + declinedBackOff
+		r.decline(now)
 		r.noteHealth(now, 1, declinedWeight)
 	case Busy:
 		r.fullUntil = now + declinedBackOff
@@ -149,9 +150,14 @@
 }
 
 func (a *average) add(span clock.Millis) {
+	a.samples++
 	a.ms += (float64(span) - a.ms) * averageWeight
 }
 
+func (a *average) known() bool {
+	return a.samples >= knownSamples
+}
+
 func (a *average) value() clock.Millis {
 	return clock.Millis(a.ms)
 }
--- a/placement/server.go
+++ b/placement/server.go
@@ -31,11 +31,9 @@
 		hash uint64
 
 		inFlight int
-		// reported is the load that the server told last.
-		reported   int
+		// others is the load from other instances, by the server's last report.
+		others     int
 		reportedAt clock.Millis
-		// sentSince counts requests sent after the last report.
-		sentSince int
 
 		coldUntil clock.Millis
 		cold      bucket
@@ -45,6 +43,10 @@
 		avoidUntil clock.Millis
 		// fullUntil is when a server that declined a request is tried again.
 		fullUntil clock.Millis
+		// ceiling is the load at which the server declined a request last, as
+		// of ceilingAt; zero means that it never did.
+		ceiling   int
+		ceilingAt clock.Millis
 		// unwell is the share of recent requests that failed, as of unwellAt.
 		unwell   float64
 		unwellAt clock.Millis
@@ -68,6 +70,9 @@
 	firstBackOff    = 400 * clock.Millis(1)
 	maxBackOff      = 4 * clock.Second
 	declinedBackOff = 60 * clock.Millis(1)
+	// ceilingStep is the time after which a server is taken to bear one request
+	// more than when it declined.
+	ceilingStep = 500 * clock.Millis(1)
 	// unwellWeight is the weight of the newest request in the failure share.
 	unwellWeight = 0.15
 	// unwellFade is the time constant with which failures are forgotten.
@@ -88,7 +93,28 @@
 	if now-r.reportedAt >= reportAge {
 		return r.inFlight
 	}
-	return max(r.inFlight, r.reported+r.sentSince)
+	return r.inFlight + r.others
+}
+
+// report takes in the server's own word on its load.
+func (r *record) report(now clock.Millis, load int) {
+	r.others = max(0, load-r.inFlight)
+	r.reportedAt = now
+}
+
+// isFull reports whether the server is expected to decline another request.
+func (r *record) isFull(now clock.Millis) bool {
+	if now < r.fullUntil {
+		return true
+	}
+	return r.ceiling > 0 && r.load(now) >= r.ceiling+int((now-r.ceilingAt)/ceilingStep)
+}
+
+// decline notes that the server had no room for one more request.
+func (r *record) decline(now clock.Millis) {
+	r.fullUntil = now + declinedBackOff
+	r.ceiling = max(1, r.load(now))
+	r.ceilingAt = now
 }
 
 func (r *record) isCold(now clock.Millis) bool {
--- a/placement/table_test.go
+++ b/placement/table_test.go
@@ -127,10 +127,23 @@
 	}
 }
 
+// warmUp has an object's requests answered one after the other, as quickly as
+// half the objective.
+func (t *Table) warmUp(tb testing.TB, object uint64) {
+	for range 10 {
+		choice, refusal := t.Choose(10, testQuery(object))
+		if refusal != nil {
+			tb.Fatal(refusal.Reason)
+		}
+		t.Done(160, choice, Report{Outcome: Answered})
+	}
+}
+
 // TestFullServersRefuse fills the servers: beyond the objective, requests are
 // refused at once instead of waiting, and a caller that has come back is not.
 func TestFullServersRefuse(t *testing.T) {
 	table := newTestTable(1)
+	table.warmUp(t, 7)
 	refused := 0
 	for range 200 {
 		choice, refusal := table.Choose(10, testQuery(7))
@@ -155,6 +168,51 @@
 	}
 }
 
+// TestGuessedTimesRefuseNothing has as many requests arrive at a fresh instance as
+// the servers have slots: while it has seen no answer, it does not know that
+// waiting takes too long.
+func TestGuessedTimesRefuseNothing(t *testing.T) {
+	table := newTestTable(2)
+	var choices []*Choice
+	for object := range uint64(2 * 4 * testSlots) {
+		choice, refusal := table.Choose(10, testQuery(object%5+1))
+		if refusal != nil {
+			t.Fatalf("request %d was refused: %s", object, refusal.Reason)
+		}
+		choices = append(choices, choice)
+	}
+	for _, choice := range choices {
+		table.Done(160, choice, Report{Outcome: Answered})
+	}
+	table.warmUp(t, 1)
+	refused := false
+	for range 50 * testSlots {
+		_, refusal := table.Choose(160, testQuery(1))
+		refused = refused || refusal != nil
+	}
+	if !refused {
+		t.Fatal("nothing was refused by an instance that knows how long requests take")
+	}
+}
+
+// TestFreeSlotsRelieve has an object's servers filled up: while others have free
+// slots and answer within the objective, none waits and none is refused.
+func TestFreeSlotsRelieve(t *testing.T) {
+	table := newTestTable(2)
+	for object := range uint64(100) {
+		table.warmUp(t, object)
+	}
+	for n := range 2 * 4 * testSlots {
+		choice, refusal := table.Choose(10, testQuery(7))
+		if refusal != nil {
+			t.Fatalf("request %d was refused: %s", n, refusal.Reason)
+		}
+		if load := choice.record.load(10); load > testSlots {
+			t.Fatalf("request %d is one of %d on the %d slots of server %s", n, load, testSlots, choice.Server.ID)
+		}
+	}
+}
+
 // TestColdServersAreSpared has all instances of a fleet send to a server that
 // has just started, as fast as they may, at random times: in no second does it
 // get more than its limit.
