Exchange states and ages with fixed neighbors, and one whole table at a time

Each answer of gossip listed all members whole (100 bytes each), each round asked other peers at random, so that every instance held a kept-alive connection to every other one, a starting instance got the whole list of servers from each of eight peers, and a relay told its whole region of a change by itself. Besides, 1.8 s of silence were taken for an end at any size, while news takes longer the larger the fleet is. Ruled out: decoding of servers' rows (cached by version already); the rates' exchanges, which cost nothing without traffic. Change: answers carry a state (a hash of the entry) and an age an instance; entries are fetched for unknown states only. An instance exchanges with ring neighbors at distances of 1, 2, 4 ... in its region and outside. Connections that are not used end. A table that is lacking, or a change that a peer pushes, is fetched from one peer at a time. News of rules goes from neighbor to neighbor. An instance counts as running 0.25 s longer for each doubling of the fleet beyond 8.

--- a/fleet/gossip.go
+++ b/fleet/gossip.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/bulrushferry/bulrushferry/clock"
@@ -32,7 +33,10 @@
 	// Gossip exchanges news and heartbeats with peers: each round asks a few of
 	// them for what they know and this instance does not.
 	Gossip struct {
-		config  GossipConfig
+		config GossipConfig
+		// fetching is held by the one call that may bring whole tables.
+		fetching atomic.Bool
+
 		mu      sync.Mutex
 		trouble map[string]bool
 	}
@@ -81,32 +85,32 @@
 	}
 }
 
-// pick draws the running peers of a round.
+// pick draws the peers of a round from this instance's neighbors, so that it
+// keeps few connections.
 func (g *Gossip) pick(alive []*wire.FleetInstance) []*wire.FleetInstance {
-	rand.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
-	region := g.config.Members.Self().GetRegion()
-	near, far := nearFanOut, farFanOut
-	var out []*wire.FleetInstance
+	near, far := g.neighbors(alive)
+	return append(draw(near, nearFanOut), draw(far, farFanOut)...)
+}
+
+// neighbors returns this instance's neighbors in its region and in the others.
+func (g *Gossip) neighbors(alive []*wire.FleetInstance) (near, far []*wire.FleetInstance) {
+	self := g.config.Members.Self()
 	for _, member := range alive {
-		left := &far
-		if member.GetRegion() == region {
-			left = &near
-		}
-		if *left > 0 {
-			*left--
-			out = append(out, member)
+		if member.GetRegion() == self.GetRegion() {
+			near = append(near, member)
+		} else {
+			far = append(far, member)
 		}
 	}
-	return out
+	return neighbors(self, near), neighbors(self, far)
 }
 
-// Spread tells all running peers of the own region at once that there is news.
+// Spread tells the neighbors in the own region at once that there is news. They
+// do the same.
 func (g *Gossip) Spread() {
-	region := g.config.Members.Self().GetRegion()
-	for _, member := range g.config.Members.Alive(g.config.Clock.Now()) {
-		if member.GetRegion() == region {
-			go g.Ask(context.Background(), member.GetPeerAddress())
-		}
+	near, _ := g.neighbors(g.config.Members.Alive(g.config.Clock.Now()))
+	for _, member := range near {
+		go g.Ask(context.Background(), member.GetPeerAddress())
 	}
 }
 
@@ -125,20 +129,61 @@
 	return out
 }
 
-// Ask exchanges news with the peer at an address and reports whether it answered.
+// Ask exchanges news with the peer at an address and reports whether it
+// answered. While this instance lacks a table, one peer at a time is asked for it.
 func (g *Gossip) Ask(ctx context.Context, address string) bool {
+	fetches := false
+	if g.lacksTable() {
+		fetches = g.fetching.CompareAndSwap(false, true)
+		if fetches {
+			defer g.fetching.Store(false)
+		}
+	}
+	return g.ask(ctx, address, fetches)
+}
+
+// fetch asks a peer that is ahead, unless another one is being asked.
+func (g *Gossip) fetch(ctx context.Context, address string) {
+	if !g.fetching.CompareAndSwap(false, true) {
+		return
+	}
+	defer g.fetching.Store(false)
+	g.ask(ctx, address, true)
+}
+
+// ask exchanges news with a peer, and asks again for entries of instances that
+// the answer shows to be unknown. Tables that this instance lacks are asked for
+// only where whole is set.
+func (g *Gossip) ask(ctx context.Context, address string, whole bool) bool {
 	ctx, cancel := context.WithTimeout(ctx, gossipTimeout)
 	defer cancel()
+	unknown, ok := g.exchange(ctx, address, &wire.Gossip{Sender: g.config.Members.Self(), Tables: g.digests(whole)})
+	if ok && len(unknown) > 0 {
+		_, ok = g.exchange(ctx, address, &wire.Gossip{Sender: g.config.Members.Self(), Unknown: unknown})
+	}
+	return ok
+}
+
+// exchange sends one message and takes in the answer. It returns the states of
+// instances whose entries are not known.
+func (g *Gossip) exchange(ctx context.Context, address string, message *wire.Gossip) (unknown []uint64, ok bool) {
 	askedAt := g.config.Clock.Now()
-	response, err := g.config.Network.Call(ctx, address, &wire.PeerRequest{
-		Body: &wire.PeerRequest_Gossip{Gossip: &wire.Gossip{Sender: g.config.Members.Self(), Tables: g.digests()}},
-	})
+	response, err := g.config.Network.Call(ctx, address, &wire.PeerRequest{Body: &wire.PeerRequest_Gossip{Gossip: message}})
 	g.note(address, err)
 	if err != nil {
-		return false
+		return nil, false
 	}
-	g.takeIn(response.GetGossip(), askedAt)
-	return true
+	return g.takeIn(response.GetGossip(), askedAt), true
+}
+
+// lacksTable reports whether nothing is known yet of a table.
+func (g *Gossip) lacksTable() bool {
+	for _, table := range g.config.Tables {
+		if _, known := table.AsOf(); !known {
+			return true
+		}
+	}
+	return false
 }
 
 // note logs a peer that stops or begins to answer.
@@ -155,28 +200,35 @@
 	}
 }
 
-// digests says how new this instance's tables are.
-func (g *Gossip) digests() []*wire.TableDigest {
+// digests says how new this instance's tables are, with those that it lacks if
+// whole is set.
+func (g *Gossip) digests(whole bool) []*wire.TableDigest {
 	now := g.config.Clock.Now()
 	out := make([]*wire.TableDigest, 0, len(g.config.Tables))
 	for _, table := range g.config.Tables {
 		asOf, known := table.AsOf()
 		if known {
 			out = append(out, &wire.TableDigest{Table: table.Name(), Version: table.Version(), AgeMs: int64(now - asOf)})
-		} else {
+		} else if whole {
 			out = append(out, &wire.TableDigest{Table: table.Name(), AgeMs: int64(now)})
 		}
 	}
 	return out
 }
 
-func (g *Gossip) takeIn(answer *wire.GossipAnswer, askedAt clock.Millis) {
+// takeIn takes in an answer. It returns the states of instances whose entries are
+// not known.
+func (g *Gossip) takeIn(answer *wire.GossipAnswer, askedAt clock.Millis) []uint64 {
 	g.config.Members.Heard(answer.GetSender(), askedAt)
 	for _, info := range answer.GetMembers() {
 		if g.config.Members.HeardOf(info, askedAt) {
 			g.config.Restarted(info.GetPeerAddress())
 		}
 	}
+	unknown, restarted := g.config.Members.HeardStates(answer.GetStates(), answer.GetAges(), askedAt)
+	for _, address := range restarted {
+		g.config.Restarted(address)
+	}
 	g.noteAges(answer.GetTables(), askedAt)
 	news, err := unpack(answer.GetNews())
 	if err != nil {
@@ -190,6 +242,7 @@
 	for _, fingerprint := range answer.GetCrashing() {
 		g.config.Quarantine(fingerprint)
 	}
+	return unknown
 }
 
 // noteAges takes in how new a peer's tables are.
@@ -217,7 +270,10 @@
 		g.config.Restarted(asked.GetSender().GetPeerAddress())
 	}
 	g.noteAges(asked.GetTables(), now)
-	answer := &wire.GossipAnswer{Sender: g.config.Members.Self(), Members: g.config.Members.Report(now), Tables: g.digests()}
+	answer := &wire.GossipAnswer{Sender: g.config.Members.Self(), Members: g.config.Members.Entries(asked.GetUnknown(), now), Tables: g.digests(true)}
+	if len(asked.GetUnknown()) == 0 {
+		answer.States, answer.Ages = g.config.Members.Report(now)
+	}
 	ahead := false
 	news := &wire.GossipNews{}
 	for _, digest := range asked.GetTables() {
@@ -231,7 +287,7 @@
 		ahead = ahead || digest.GetVersion() > table.Version()
 	}
 	if ahead {
-		go g.Ask(context.WithoutCancel(ctx), asked.GetSender().GetPeerAddress())
+		go g.fetch(context.WithoutCancel(ctx), asked.GetSender().GetPeerAddress())
 	}
 	answer.News = pack(news)
 	answer.Crashing = g.config.Crashing()
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -1,11 +1,14 @@
 package fleet
 
 import (
+	"math/bits"
 	"sort"
 	"sync"
 
 	"github.com/bulrushferry/bulrushferry/clock"
+	"github.com/bulrushferry/bulrushferry/values"
 	"github.com/bulrushferry/bulrushferry/wire"
+	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -21,18 +24,29 @@
 		self *wire.FleetInstance
 		// others holds one entry an instance, by its name.
 		others map[string]*member
+		// entries holds the entries that were heard, by their states; an
+		// instance that becomes ready again is in a former state.
+		entries map[uint64]*wire.FleetInstance
 	}
 
 	member struct {
-		info *wire.FleetInstance
+		info  *wire.FleetInstance
+		state uint64
 		// heardAt is when the instance itself last spoke, here or to a peer.
 		heardAt clock.Millis
 	}
 )
 
 const (
-	// aliveFor is how long an instance counts as running after it was heard.
-	aliveFor = 1800 * clock.Millis(1)
+	// aliveFor is how long an instance of a small fleet counts as running after
+	// it was heard. News takes aliveStep longer each time the fleet doubles.
+	aliveFor  = 1800 * clock.Millis(1)
+	aliveStep = 250 * clock.Millis(1)
+	// smallFleet is the number of instances, as a power of two, up to which
+	// aliveFor holds.
+	smallFleet = 4
+	// spareEntries is how many former entries are kept for each instance.
+	spareEntries = 4
 	// sharesMargin covers the time that news of an instance takes.
 	sharesMargin = clock.Second
 	// rememberedFor is how long a silent instance counts in the majority.
@@ -42,7 +56,9 @@
 // NewMembers returns the members known to a fresh process: itself. Term is how
 // long an instance that hears nothing goes on serving.
 func NewMembers(self *wire.FleetInstance, term clock.Millis) *Members {
-	return &Members{self: self, sharesFor: term + sharesMargin, others: make(map[string]*member)}
+	m := &Members{sharesFor: term + sharesMargin, others: make(map[string]*member), entries: make(map[uint64]*wire.FleetInstance)}
+	m.become(self)
+	return m
 }
 
 // Self returns this instance's own entry.
@@ -56,17 +72,29 @@
 func (m *Members) SetReady(ready bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.self = proto.CloneOf(m.self)
-	m.self.Ready = ready && !m.self.GetStopping()
+	if ready = ready && !m.self.GetStopping(); ready == m.self.GetReady() {
+		return
+	}
+	self := proto.CloneOf(m.self)
+	self.Ready = ready
+	m.become(self)
 }
 
 // SetStopping says that this instance is to end.
 func (m *Members) SetStopping() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.self = proto.CloneOf(m.self)
-	m.self.Ready = false
-	m.self.Stopping = true
+	self := proto.CloneOf(m.self)
+	self.Ready = false
+	self.Stopping = true
+	m.become(self)
+}
+
+// become replaces this instance's own entry, which peers report back to it. The
+// caller holds the lock.
+func (m *Members) become(self *wire.FleetInstance) {
+	m.self = self
+	m.entries[stateOf(self)] = self
 }
 
 // Heard takes in an entry that was true at a moment. It reports whether the
@@ -74,6 +102,14 @@
 func (m *Members) Heard(info *wire.FleetInstance, at clock.Millis) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	state := stateOf(info)
+	m.entries[state] = info
+	m.trimEntries()
+	return m.heard(state, info, at)
+}
+
+// heard takes in an entry with its state. The caller holds the lock.
+func (m *Members) heard(state uint64, info *wire.FleetInstance, at clock.Millis) bool {
 	if info.GetInstance() == "" || info.GetInstance() == m.self.GetInstance() {
 		return false
 	}
@@ -81,13 +117,66 @@
 	if ok && at <= old.heardAt {
 		return false
 	}
-	m.others[info.GetInstance()] = &member{info: info, heardAt: at}
+	m.others[info.GetInstance()] = &member{info: info, state: state, heardAt: at}
 	return ok && old.info.GetIncarnation() != info.GetIncarnation()
 }
 
+// HeardStates takes in how long ago a peer heard of instances in some states,
+// counted from when it was asked. It returns the states whose entries are not
+// known, and the peer addresses of the instances that have started again.
+func (m *Members) HeardStates(states []uint64, ages []uint32, askedAt clock.Millis) (unknown []uint64, restarted []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for i, state := range states[:min(len(states), len(ages))] {
+		info, ok := m.entries[state]
+		if !ok {
+			unknown = append(unknown, state)
+			continue
+		}
+		if m.heard(state, info, askedAt-clock.Millis(ages[i])) {
+			restarted = append(restarted, info.GetPeerAddress())
+		}
+	}
+	return unknown, restarted
+}
+
+// trimEntries forgets former entries where there are too many. The caller holds
+// the lock.
+func (m *Members) trimEntries() {
+	if len(m.entries) <= spareEntries*(len(m.others)+1) {
+		return
+	}
+	clear(m.entries)
+	m.become(m.self)
+	for _, other := range m.others {
+		m.entries[other.state] = other.info
+	}
+}
+
+// stateOf identifies an entry by all that it says of an instance.
+func stateOf(info *wire.FleetInstance) uint64 {
+	plain := proto.CloneOf(info)
+	plain.HeardAgeMs = 0
+	raw, _ := proto.MarshalOptions{Deterministic: true}.Marshal(plain)
+	return xxhash.Sum64(raw)
+}
+
 // Alive returns the other instances that run.
 func (m *Members) Alive(now clock.Millis) []*wire.FleetInstance {
-	return m.within(now, aliveFor)
+	return m.within(now, m.aliveFor())
+}
+
+// aliveFor returns how long a silent instance of this fleet counts as running.
+func (m *Members) aliveFor() clock.Millis {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return aliveIn(len(m.others) + 1)
+}
+
+// aliveIn returns how long a silent instance of a fleet of a size counts as
+// running.
+func aliveIn(size int) clock.Millis {
+	return aliveFor + aliveStep*clock.Millis(max(0, bits.Len(uint(size))-smallFleet))
 }
 
 // Sharing returns the names of the instances that may be using their part of
@@ -127,32 +216,51 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	heard, all := 1, 1
+	alive := aliveIn(len(m.others) + 1)
 	for _, other := range m.others {
 		age := now - other.heardAt
-		if age >= rememberedFor || (other.info.GetStopping() && age >= aliveFor) {
+		if age >= rememberedFor || (other.info.GetStopping() && age >= alive) {
 			continue
 		}
 		all++
-		if age < aliveFor {
+		if age < alive {
 			heard++
 		}
 	}
 	return 2*heard >= all
 }
 
-// Report lists the members with their ages for a peer.
-func (m *Members) Report(now clock.Millis) []*wire.FleetInstance {
+// Report lists the states of the members with their ages in milliseconds for a
+// peer.
+func (m *Members) Report(now clock.Millis) (states []uint64, ages []uint32) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	out := make([]*wire.FleetInstance, 0, len(m.others))
 	for _, other := range m.others {
 		age := now - other.heardAt
 		if age >= rememberedFor {
 			continue
 		}
-		info := proto.CloneOf(other.info)
-		info.HeardAgeMs = int64(age)
-		out = append(out, info)
+		states = append(states, other.state)
+		ages = append(ages, uint32(max(age, 0)))
+	}
+	return states, ages
+}
+
+// Entries returns the entries of members in some states with their ages.
+func (m *Members) Entries(states []uint64, now clock.Millis) []*wire.FleetInstance {
+	if len(states) == 0 {
+		return nil
+	}
+	wanted := values.NewSet(states...)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []*wire.FleetInstance
+	for _, other := range m.others {
+		if wanted.Has(other.state) {
+			info := proto.CloneOf(other.info)
+			info.HeardAgeMs = int64(max(now-other.heardAt, 0))
+			out = append(out, info)
+		}
 	}
 	return out
 }
--- /dev/null
+++ b/fleet/neighbors.go
@@ -0,0 +1,43 @@
+package fleet
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"github.com/bulrushferry/bulrushferry/wire"
+	"github.com/cespare/xxhash/v2"
+)
+
+// neighbors returns the members of a list that an instance exchanges news with:
+// on a ring by the hashes of names, those at distances of 1, 2, 4, 8 and so on
+// from it. Their number grows with the logarithm of the list's length, and so does
+// the number of steps in which news reaches all (Stoica et al., Chord, 2001).
+func neighbors(self *wire.FleetInstance, list []*wire.FleetInstance) []*wire.FleetInstance {
+	type place struct {
+		distance uint64
+		member   *wire.FleetInstance
+	}
+	origin := xxhash.Sum64String(self.GetInstance())
+	ring := make([]place, 0, len(list))
+	for _, member := range list {
+		ring = append(ring, place{xxhash.Sum64String(member.GetInstance()) - origin, member})
+	}
+	slices.SortFunc(ring, func(a, b place) int {
+		if a.distance < b.distance {
+			return -1
+		}
+		return 1
+	})
+	var out []*wire.FleetInstance
+	for step := 1; step <= len(ring); step *= 2 {
+		out = append(out, ring[step-1].member)
+	}
+	return out
+}
+
+// draw returns some members of a list at random.
+func draw(list []*wire.FleetInstance, most int) []*wire.FleetInstance {
+	list = slices.Clone(list)
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list[:min(len(list), most)]
+}
--- a/peer/transport.go
+++ b/peer/transport.go
@@ -30,6 +30,8 @@
 		Address string
 		TLS     *tls.Config
 		Log     hclog.Logger
+		// CloseIdle lets connections that are not used end.
+		CloseIdle bool
 	}
 
 	// Transport is a Network over QUIC with mutual TLS. It uses one stream a
@@ -71,20 +73,23 @@
 		quic:   &quic.Transport{Conn: conn},
 		conns:  make(map[string]*quic.Conn),
 	}
-	t.listener, err = t.quic.Listen(config.TLS, quicConfig())
+	t.listener, err = t.quic.Listen(config.TLS, config.quic())
 	if err != nil {
 		return nil, ErrListen.Wrap(err, "listening on peer address %s", config.Address)
 	}
 	return t, nil
 }
 
-func quicConfig() *quic.Config {
-	return &quic.Config{
+func (c TransportConfig) quic() *quic.Config {
+	q := &quic.Config{
 		HandshakeIdleTimeout: handshakeTimeout,
 		MaxIdleTimeout:       idleTimeout,
-		KeepAlivePeriod:      keepAlivePeriod,
 		MaxIncomingStreams:   maxIncomingStreams,
 	}
+	if !c.CloseIdle {
+		q.KeepAlivePeriod = keepAlivePeriod
+	}
+	return q
 }
 
 // Serve answers peers until the context ends.
@@ -198,7 +203,7 @@
 	}
 	config := t.config.TLS.Clone()
 	config.ServerName = udp.IP.String()
-	dialled, err := t.quic.Dial(ctx, udp, config, quicConfig())
+	dialled, err := t.quic.Dial(ctx, udp, config, t.config.quic())
 	if err != nil {
 		return nil, err
 	}
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -94,6 +94,16 @@
 // newFleet starts instances, servers and the store, and waits until the
 // instances are ready.
 func newFleet(t *testing.T, layout deployment) *fleet {
+	t.Helper()
+	f := prepareFleet(t, layout)
+	f.start()
+	time.Sleep(2 * time.Second)
+	return f
+}
+
+// prepareFleet starts the servers and the store, and makes the instances'
+// settings.
+func prepareFleet(t *testing.T, layout deployment) *fleet {
 	t.Helper()
 	f := &fleet{t: t, layout: layout, ledger: &ledger{runs: make(map[string]int)}, keys: map[string]bool{"big": true, "small": true, "gone": true}}
 	var address string
@@ -110,17 +120,22 @@
 		d := layout.domains[i%len(layout.domains)]
 		f.instances = append(f.instances, f.newInstance(i, d.name, d.region, address))
 	}
+	return f
+}
+
+// start starts the instances and waits until they serve.
+func (f *fleet) start() {
+	f.t.Helper()
 	for _, in := range f.instances {
-		in.start(t)
+		in.start(f.t)
 	}
-	t.Cleanup(func() {
+	f.t.Cleanup(func() {
 		for _, in := range f.instances {
 			in.signal(syscall.SIGCONT)
 			in.signal(syscall.SIGKILL)
 		}
 	})
 	f.awaitReady()
-	return f
 }
 
 // configure stores the next version of the configuration, without the keys of
@@ -214,6 +229,13 @@
 	in.mu.Unlock()
 }
 
+// pid returns the process id of the instance's process.
+func (in *instance) pid() int {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.cmd.Process.Pid
+}
+
 func (in *instance) signal(s syscall.Signal) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
@@ -252,7 +274,6 @@
 			time.Sleep(50 * time.Millisecond)
 		}
 	}
-	time.Sleep(2 * time.Second)
 }
 
 // dump shows the end of each instance's log.
--- a/steering/wiring.go
+++ b/steering/wiring.go
@@ -115,10 +115,10 @@
 	if err != nil {
 		return nil, err
 	}
-	return peer.NewTransport(peer.TransportConfig{Address: s.PeerAddress, TLS: tls, Log: log.Named("peer")})
+	return peer.NewTransport(peer.TransportConfig{Address: s.PeerAddress, TLS: tls, Log: log.Named("peer"), CloseIdle: true})
 }
 
-func newGossip(k *Knowledge, m *membership, members *fleet.Members, network *peer.Transport, c clock.Clock, crashes *placement.Crashes, log hclog.Logger) *fleet.Gossip {
+func newGossip(k *Knowledge, members *fleet.Members, network *peer.Transport, c clock.Clock, crashes *placement.Crashes, log hclog.Logger) *fleet.Gossip {
 	g := fleet.NewGossip(fleet.GossipConfig{
 		Clock:     clock.Boot{},
 		Log:       log.Named("gossip"),
@@ -135,11 +135,7 @@
 		},
 		Quarantine: func(f uint64) { crashes.Hold(c.Now(), placement.Fingerprint(f)) },
 	})
-	k.OnNews(func() {
-		if m.isRelay() {
-			g.Spread()
-		}
-	})
+	k.OnNews(g.Spread)
 	return g
 }
 
--- a/values/set.go
+++ b/values/set.go
@@ -4,12 +4,12 @@
 import "sort"
 
 // Set is an immutable set of strings or numbers.
-type Set[T ~string | ~int | ~int32 | ~int64] struct {
+type Set[T ~string | ~int | ~int32 | ~int64 | ~uint64] struct {
 	members map[T]struct{}
 }
 
 // NewSet returns a set of the given members.
-func NewSet[T ~string | ~int | ~int32 | ~int64](members ...T) Set[T] {
+func NewSet[T ~string | ~int | ~int32 | ~int64 | ~uint64](members ...T) Set[T] {
 	s := Set[T]{members: make(map[T]struct{}, len(members))}
 	for _, m := range members {
 		s.members[m] = struct{}{}
