Run no action after the list of actions is made, and let answers to peers arrive

Cause: found while tracing TestWholePath by reading the planned stop. (1) The list of actions was made while peers could still pass actions on: one that arrived just after ran, and its heirs refused a resend as never run. (2) The process closed its connections to peers right after; a request that ran for a peer, or whose answer was on its way, ended as unknown. Change: the table of actions stops first and refuses new ones as handed over, which is a true "not run"; the peer that passed one on waits for the list and decides by it. The process waits until no request runs for a peer and the last answer had 300 ms to arrive, before and after the hand-over. TestDrainFinishesAnswers fails without the wait (a running call got no answer). Conclusion: both losses are mended.

--- a/caller/action.go
+++ b/caller/action.go
@@ -9,6 +9,12 @@
 	"github.com/joomcode/errorx"
 )
 
+const (
+	// handoverWait bounds the wait for a stopping instance's list of actions.
+	handoverWait = 2 * time.Second
+	handoverStep = 20 * time.Millisecond
+)
+
 // executeOnce runs an action at the one incarnation that may run it.
 func (e *Executor) executeOnce(ctx context.Context, job Job) Answer {
 	name, prefixed := once.ParseName(job.Action).Get()
@@ -33,12 +39,35 @@
 		return unknown(CodeActionUnknown, "the instance that may run this action cannot be reached")
 	}
 	answer := e.pass(ctx, job, member)
+	if answer.Code == CodeHandedOver {
+		return e.inherited(ctx, job)
+	}
 	if answer.Code == CodeNoCapacity || answer.Code == CodeNoAuthority || answer.Code == CodeKey {
 		return answer.WithUnknown()
 	}
 	return answer
 }
 
+// inherited decides on an action whose instance stops and says that it has not
+// run it: its list of actions is on the way here.
+func (e *Executor) inherited(ctx context.Context, job Job) Answer {
+	ctx, cancel := context.WithTimeout(ctx, min(handoverWait, (job.Deadline-e.config.Clock.Now()).Duration()))
+	defer cancel()
+	ticker := time.NewTicker(handoverStep)
+	defer ticker.Stop()
+	for {
+		ticket := e.config.Actions.Begin(e.config.Clock.Now(), onceRequest(&job))
+		if ticket.Decision != once.Foreign {
+			return e.redeem(ctx, job, ticket)
+		}
+		select {
+		case <-ctx.Done():
+			return unknown(CodeActionUnknown, "the instance that issued this action prefix stops and its list of actions has not arrived")
+		case <-ticker.C:
+		}
+	}
+}
+
 // executeClaimed runs an action whose name its caller chose freely. The name
 // is claimed in the table service first.
 func (e *Executor) executeClaimed(ctx context.Context, job Job) Answer {
@@ -83,6 +112,8 @@
 		return refuse(CodeActionConflict, "the Idempotency-Key was used for another request")
 	case once.NeverRun:
 		return refuse(CodeNoCapacity, "the instance that issued this action prefix has stopped without running it: ask for a new prefix")
+	case once.HandedOver:
+		return refuse(CodeHandedOver, "this instance stops without running the action: ask for a new prefix")
 	case once.Full:
 		return refuse(CodeNoCapacity, "this instance remembers too many actions to take another one")
 	default:
--- a/caller/refusal.go
+++ b/caller/refusal.go
@@ -43,6 +43,8 @@
 	CodeActionConflict Code = "action_conflict"
 	// CodeActionUnknown marks an action whose fate cannot be learned.
 	CodeActionUnknown Code = "action_unknown"
+	// CodeHandedOver marks an action whose instance stops and has not run it.
+	CodeHandedOver Code = "handed_over"
 	// CodeBackend marks a request whose backend server gave no whole answer.
 	CodeBackend Code = "backend_failed"
 )
@@ -58,6 +60,7 @@
 	CodeActionMissing:  fasthttp.StatusBadRequest,
 	CodeActionConflict: fasthttp.StatusConflict,
 	CodeActionUnknown:  fasthttp.StatusConflict,
+	CodeHandedOver:     fasthttp.StatusServiceUnavailable,
 	CodeBackend:        fasthttp.StatusBadGateway,
 }
 
--- a/entry/run.go
+++ b/entry/run.go
@@ -96,7 +96,10 @@
 	if err := p.Callers.Shutdown(ctx); err != nil {
 		p.Log.Error("running requests were cut", "error", err)
 	}
+	p.Actions.Stop()
+	p.Transport.Drain(ctx)
 	p.handOver()
+	p.Transport.Drain(ctx)
 	if err := p.Operators.Shutdown(ctx); err != nil {
 		p.Log.Warn("operators' requests were cut", "error", err)
 	}
@@ -109,7 +112,7 @@
 	told := peer.Broadcast(ctx, p.Transport, p.Fleet.Members(), &wire.PeerRequest{
 		Body: &wire.PeerRequest_Handover{Handover: &wire.Handover{
 			Incarnation: p.Fleet.Incarnation(),
-			Actions:     p.Actions.Finished(),
+			Actions:     p.Actions.HandOver(),
 		}},
 	})
 	p.Log.Info("handed over actions", "actions", p.Actions.Len(), "peers", told)
--- a/once/table.go
+++ b/once/table.go
@@ -50,6 +50,8 @@
 		// inherited holds the epoch in which each stopped incarnation handed
 		// over its actions.
 		inherited map[string]int64
+		// handedOver is set once this incarnation runs no more actions.
+		handedOver bool
 	}
 
 	entry struct {
@@ -81,6 +83,9 @@
 	NeverRun
 	// Full means that the table has no room for another action.
 	Full
+	// HandedOver means that this incarnation runs no more actions and its list
+	// is on the way to the others.
+	HandedOver
 )
 
 // NewTable returns an empty table.
@@ -101,7 +106,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if known, ok := t.actions[key(request)]; ok {
-		return known.ticket(request)
+		return known.ticket(request, t.handedOver)
 	}
 	if _, ok := t.inherited[name.Incarnation]; ok {
 		return inheritedTicket(now, name)
@@ -118,7 +123,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if known, ok := t.actions[key(request)]; ok {
-		return known.ticket(request)
+		return known.ticket(request, t.handedOver)
 	}
 	return t.begin(now, request, EpochAt(now))
 }
@@ -132,7 +137,7 @@
 	if !ok || known.finished.GetOutcome() == wire.Outcome_OUTCOME_NOT_RUN {
 		return values.None[Ticket]()
 	}
-	return values.Some(known.ticket(request))
+	return values.Some(known.ticket(request, t.handedOver))
 }
 
 // End records an action's answer and wakes those who wait for it. An action
@@ -148,8 +153,17 @@
 	close(running.done)
 }
 
-// Finished lists the remembered actions for a hand-over.
-func (t *Table) Finished() []*wire.FinishedAction {
+// Stop ends the beginning of actions, so that a list made afterwards is
+// complete. Those that run go on.
+func (t *Table) Stop() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.handedOver = true
+}
+
+// HandOver stops the table and lists the remembered actions for the others.
+func (t *Table) HandOver() []*wire.FinishedAction {
+	t.Stop()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	out := make([]*wire.FinishedAction, 0, len(t.actions))
@@ -211,6 +225,9 @@
 	if epoch > EpochAt(now) || isOver(epoch, now) {
 		return Ticket{Decision: Expired}
 	}
+	if t.handedOver {
+		return Ticket{Decision: HandedOver}
+	}
 	if len(t.actions) >= t.config.MaxActions {
 		return Ticket{Decision: Full}
 	}
@@ -246,7 +263,9 @@
 	}
 }
 
-func (e *entry) ticket(request Request) Ticket {
+// ticket answers another attempt of an action that is in the table. One that
+// ended as not run is begun again unless the table has stopped.
+func (e *entry) ticket(request Request, stopped bool) Ticket {
 	if !bytes.Equal(e.request.Fingerprint, request.Fingerprint) {
 		return Ticket{Decision: Conflict}
 	}
@@ -254,6 +273,9 @@
 		return Ticket{Decision: Wait, Done: e.done}
 	}
 	if e.finished.GetOutcome() == wire.Outcome_OUTCOME_NOT_RUN && !e.inherited {
+		if stopped {
+			return Ticket{Decision: HandedOver}
+		}
 		e.finished = nil
 		e.done = make(chan struct{})
 		return Ticket{Decision: Run, Done: e.done}
--- /dev/null
+++ b/peer/drain_test.go
@@ -0,0 +1,68 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/bulrushferry/bulrushferry/wire"
+	"github.com/hashicorp/go-hclog"
+)
+
+// newTestTransport opens a transport on loopback.
+func newTestTransport(t *testing.T) (*Transport, string) {
+	t.Helper()
+	conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := conn.LocalAddr().String()
+	_ = conn.Close()
+	config, err := NewInstanceTLS(address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	transport, err := NewTransport(TransportConfig{Address: address, TLS: config, Log: hclog.NewNullLogger()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return transport, address
+}
+
+// TestDrainFinishesAnswers closes a transport by plan while calls run on it and
+// just after their handlers returned: each call gets its answer.
+func TestDrainFinishesAnswers(t *testing.T) {
+	const calls = 40
+	server, address := newTestTransport(t)
+	client, _ := newTestTransport(t)
+	defer client.Close()
+	body := make([]byte, 200<<10)
+	started := make(chan struct{}, calls)
+	go server.Serve(t.Context(), func(context.Context, *wire.PeerRequest) *wire.PeerResponse {
+		started <- struct{}{}
+		time.Sleep(50 * time.Millisecond)
+		return &wire.PeerResponse{Body: &wire.PeerResponse_Forward{Forward: &wire.ForwardAnswer{Response: body}}}
+	})
+	results := make(chan error, calls)
+	for range calls {
+		go func() {
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			_, err := client.Call(ctx, address, &wire.PeerRequest{Body: &wire.PeerRequest_Forward{Forward: &wire.Forward{}}})
+			results <- err
+		}()
+	}
+	for range calls {
+		<-started
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	server.Drain(ctx)
+	server.Close()
+	for range calls {
+		if err := <-results; err != nil {
+			t.Fatalf("a call that ran when the stop began got no answer: %v", err)
+		}
+	}
+}
--- a/peer/transport.go
+++ b/peer/transport.go
@@ -43,6 +43,10 @@
 
 		mu    sync.Mutex
 		conns map[string]*quic.Conn
+		// running counts the callers' requests that run here for peers;
+		// answeredAt is when the answer of the last one was sent.
+		running    int
+		answeredAt time.Time
 	}
 )
 
@@ -52,6 +56,10 @@
 	idleTimeout        = 10 * time.Second
 	keepAlivePeriod    = 2 * time.Second
 	maxIncomingStreams = 10_000
+	// answerTime is how long an answer may be on its way, with the sending
+	// again of what the network lost.
+	answerTime = 300 * time.Millisecond
+	drainStep  = 10 * time.Millisecond
 
 	closeReplaced quic.ApplicationErrorCode = 1
 	closeStopping quic.ApplicationErrorCode = 2
@@ -126,6 +134,10 @@
 		t.config.Log.Debug("unreadable peer request", "error", err)
 		return
 	}
+	if request.GetForward() != nil {
+		t.begin()
+		defer t.end()
+	}
 	response := handle(ctx, request)
 	payload, err := proto.Marshal(response)
 	if err != nil {
@@ -135,6 +147,40 @@
 	_, _ = stream.Write(payload)
 }
 
+func (t *Transport) begin() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.running++
+}
+
+func (t *Transport) end() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.running--
+	t.answeredAt = time.Now()
+}
+
+// Drain waits until no caller's request runs here for a peer and the last answer
+// has had the time to arrive, or until the context ends. Closing the transport
+// loses what was not received yet.
+func (t *Transport) Drain(ctx context.Context) {
+	ticker := time.NewTicker(drainStep)
+	defer ticker.Stop()
+	for !t.isQuiet() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (t *Transport) isQuiet() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.running == 0 && time.Since(t.answeredAt) >= answerTime
+}
+
 // Call implements Network. A call that gets no answer retires its connection,
 // because the peer may have been replaced or the path may have lost it.
 func (t *Transport) Call(ctx context.Context, address string, request *wire.PeerRequest) (*wire.PeerResponse, error) {
