Take changed settings while the process runs

Cause: the platform's settings file was read at the start only; SIGHUP changed nothing, and a file that changed without a signal was not noticed. Change: the file is looked at on SIGHUP and every two seconds. Bounds, seeds and the memory limit come into force at once; name, place and addresses at the next start, which is logged. A file that cannot be read changes nothing.

--- a/fleet/members.go
+++ b/fleet/members.go
@@ -61,6 +61,13 @@
 	return m
 }
 
+// SetTerm changes how long an instance that hears nothing goes on serving.
+func (m *Members) SetTerm(term clock.Millis) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.sharesFor = term + sharesMargin
+}
+
 // Self returns this instance's own entry.
 func (m *Members) Self() *wire.FleetInstance {
 	m.mu.Lock()
@@ -183,7 +190,10 @@
 // the limits, this one among them; one that stops by plan gives its part up.
 func (m *Members) Sharing(now clock.Millis) []string {
 	names := []string{m.Self().GetInstance()}
-	for _, info := range m.within(now, m.sharesFor) {
+	m.mu.Lock()
+	sharesFor := m.sharesFor
+	m.mu.Unlock()
+	for _, info := range m.within(now, sharesFor) {
 		if !info.GetStopping() {
 			names = append(names, info.GetInstance())
 		}
--- a/placement/table.go
+++ b/placement/table.go
@@ -160,6 +160,13 @@
 	t.limits = services
 }
 
+// SetColdLimits changes how a cold server's rate is widened.
+func (t *Table) SetColdLimits(overage, slack float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.config.ColdOverage, t.config.ColdSlack = overage, slack
+}
+
 // Evacuate takes in the failure domains that get nothing. The servers of one
 // that is taken back count as cold.
 func (t *Table) Evacuate(now clock.Millis, domains values.Set[string]) {
--- a/steering/budget.go
+++ b/steering/budget.go
@@ -5,10 +5,8 @@
 type (
 	// BudgetConfig configures a retry budget.
 	BudgetConfig struct {
-		// Ratio is how many retries each request earns over the fleet.
-		Ratio float64
-		// Slack is how many retries the fleet has in a window besides.
-		Slack float64
+		// Bounds returns the retry ratio and slack of the fleet.
+		Bounds func() Bounds
 		// Members returns how many instances share the slack.
 		Members func() int
 	}
@@ -39,7 +37,7 @@
 func (b *Budget) Earn(service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.tokens[service] = min(b.level(service)+b.config.Ratio*ratioMargin, b.cap())
+	b.tokens[service] = min(b.level(service)+b.config.Bounds().RetryRatio*ratioMargin, b.cap())
 }
 
 // Spend takes one retry to a service and reports whether there was one.
@@ -55,7 +53,7 @@
 }
 
 func (b *Budget) cap() float64 {
-	return max(1, b.config.Slack*slackMargin/float64(max(b.config.Members(), 1)))
+	return max(1, b.config.Bounds().RetrySlack*slackMargin/float64(max(b.config.Members(), 1)))
 }
 
 func (b *Budget) level(service string) float64 {
--- a/steering/decisions_test.go
+++ b/steering/decisions_test.go
@@ -53,7 +53,7 @@
 	members := fleet.NewMembers(&wire.FleetInstance{Instance: "self"}, 5*clock.Second)
 	k := NewKnowledge(KnowledgeConfig{
 		Boot: boot, Clock: boot, Log: hclog.NewNullLogger(), Metrics: metrics.NewRegistry(), Decoder: plainDecoder{},
-		Table: placement.NewTable(placement.TableConfig{}), Members: members, Term: 5 * clock.Second,
+		Table: placement.NewTable(placement.TableConfig{}), Members: members, Term: func() clock.Millis { return 5 * clock.Second },
 	})
 	k.Attach(fleet.NewReplica("rules", k.RulesChanged), fleet.NewReplica("servers", k.ServersChanged))
 	k.Join()
@@ -153,7 +153,7 @@
 	spent := 0
 	budgets := make([]*Budget, members)
 	for i := range budgets {
-		budgets[i] = NewBudget(BudgetConfig{Ratio: 0.2, Slack: 60, Members: func() int { return members }})
+		budgets[i] = NewBudget(BudgetConfig{Bounds: func() Bounds { return Bounds{RetryRatio: 0.2, RetrySlack: 60} }, Members: func() int { return members }})
 	}
 	for i := range requests {
 		b := budgets[i%members]
--- a/steering/join.go
+++ b/steering/join.go
@@ -35,7 +35,7 @@
 			p.joined("the platform's list")
 			return
 		}
-		if p.askAll(ctx, p.Adapter.Settings.Seeds) > 0 {
+		if p.askAll(ctx, p.Live.get().Seeds) > 0 {
 			p.joined("a seed")
 		}
 		if time.Since(began) > joinPatience {
--- a/steering/run.go
+++ b/steering/run.go
@@ -4,16 +4,13 @@
 	"context"
 	"io"
 	"net"
-	"os"
-	"os/signal"
-	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/bulrushferry/bulrushferry/fleet"
 	"github.com/bulrushferry/bulrushferry/gateway"
 	"github.com/bulrushferry/bulrushferry/origin"
 	"github.com/bulrushferry/bulrushferry/peer"
+	"github.com/bulrushferry/bulrushferry/placement"
 	"github.com/bulrushferry/bulrushferry/wire"
 	"github.com/hashicorp/go-hclog"
 	"github.com/joomcode/errorx"
@@ -26,11 +23,13 @@
 	dig.In
 
 	Adapter    Adapter
+	Live       *live
 	Log        hclog.Logger
 	Metrics    metrics.Registry
 	Members    *fleet.Members
 	Membership *membership
 	Knowledge  *Knowledge
+	Table      *placement.Table
 	Gossip     *fleet.Gossip
 	Transport  *peer.Transport
 	Rates      *Rates
@@ -58,9 +57,7 @@
 
 // Run runs an entry instance until SIGTERM, and then stops it gracefully.
 func Run(ctx context.Context, adapter Adapter, logOutput io.Writer) error {
-	if adapter.Settings.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(adapter.Settings.MemoryMB) * mebibyte * memoryPercent / 100)
-	}
+	limitMemory(adapter.Settings)
 	c, err := container(adapter, logOutput)
 	if err != nil {
 		return err
@@ -90,7 +87,7 @@
 	go p.Rates.Run(background)
 	go p.refresh(background)
 	go func() { _ = p.Callers.Serve(callers) }()
-	p.watchHangup(background)
+	go p.watchSettings(background)
 	p.Log.Info("entry instance runs", "incarnation", p.Members.Self().GetIncarnation(), "callers", p.Adapter.Settings.CallerAddress)
 	<-ctx.Done()
 	p.stop(callers)
@@ -141,7 +138,7 @@
 // runs is finished.
 func (p parts) stop(callers net.Listener) {
 	began := time.Now()
-	grace := p.Adapter.Settings.Bounds.StopTimeout.Duration()
+	grace := p.Live.get().Bounds.StopTimeout.Duration()
 	p.Log.Info("stopping", "grace_ms", grace.Milliseconds())
 	p.Members.SetStopping()
 	p.Gossip.Spread()
@@ -158,24 +155,6 @@
 	}
 }
 
-// watchHangup notes SIGHUP. Nothing that a running process depends on changes
-// with its settings, so no request is touched.
-func (p parts) watchHangup(ctx context.Context) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	go func() {
-		defer signal.Stop(hangups)
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-hangups:
-				p.Log.Info("settings are read again at the next start")
-			}
-		}
-	}()
-}
-
 func sleep(ctx context.Context, span time.Duration) {
 	timer := time.NewTimer(span)
 	defer timer.Stop()
--- a/steering/settings.go
+++ b/steering/settings.go
@@ -6,6 +6,7 @@
 	"github.com/bulrushferry/bulrushferry/clock"
 	"github.com/bulrushferry/bulrushferry/fleet"
 	"github.com/bulrushferry/bulrushferry/origin"
+	"github.com/bulrushferry/bulrushferry/values"
 	"github.com/bulrushferry/bulrushferry/wire"
 	"github.com/valyala/fasthttp"
 )
@@ -67,7 +68,7 @@
 	Surface interface {
 		// Directory answers with the addresses that choose returns for a
 		// caller's region and failure domain, to be kept for an age.
-		Directory(choose func(region, domain string) []string, age clock.Millis) fasthttp.RequestHandler
+		Directory(choose func(region, domain string) []string, age func() clock.Millis) fasthttp.RequestHandler
 		// Ready answers whether this instance takes requests.
 		Ready(ready func() bool) fasthttp.RequestHandler
 	}
@@ -75,10 +76,13 @@
 	// Adapter is all that speaks to one kind of platform.
 	Adapter struct {
 		Settings Settings
-		Dialect  origin.Dialect
-		Decoder  Decoder
-		Store    Store
-		Surface  Surface
+		// Reload returns the settings if they have changed since they were read
+		// last. It is called by one goroutine at a time.
+		Reload  func() (values.Option[Settings], error)
+		Dialect origin.Dialect
+		Decoder Decoder
+		Store   Store
+		Surface Surface
 		// Tables are the names of the platform's tables that are followed.
 		RulesTable   string
 		ServersTable string
--- a/steering/surfaces.go
+++ b/steering/surfaces.go
@@ -14,7 +14,7 @@
 // serveSurfaces opens the addresses for look-ups, checks and metrics.
 func (p parts) serveSurfaces() error {
 	s := p.Adapter.Settings
-	age := min(lookupAge, s.Bounds.LookupAge)
+	age := func() clock.Millis { return min(lookupAge, p.Live.get().Bounds.LookupAge) }
 	handlers := map[string]fasthttp.RequestHandler{
 		s.DirectoryAddress: p.Adapter.Surface.Directory(p.entries, age),
 		s.ReadyAddress:     p.Adapter.Surface.Ready(p.isReady),
--- a/steering/wiring.go
+++ b/steering/wiring.go
@@ -28,6 +28,7 @@
 	constructors := []any{
 		func() Adapter { return adapter },
 		func() Settings { return adapter.Settings },
+		newLive,
 		metrics.NewRegistry,
 		func() clock.Clock { return clock.NewSystem() },
 		func(registry metrics.Registry) hclog.Logger {
@@ -91,7 +92,7 @@
 	return names.Sorted()
 }
 
-func newKnowledge(adapter Adapter, c clock.Clock, log hclog.Logger, registry metrics.Registry, table *placement.Table, members *fleet.Members) *Knowledge {
+func newKnowledge(adapter Adapter, l *live, c clock.Clock, log hclog.Logger, registry metrics.Registry, table *placement.Table, members *fleet.Members) *Knowledge {
 	k := NewKnowledge(KnowledgeConfig{
 		Boot:    clock.Boot{},
 		Clock:   c,
@@ -100,7 +101,7 @@
 		Decoder: adapter.Decoder,
 		Table:   table,
 		Members: members,
-		Term:    adapter.Settings.Bounds.Authority,
+		Term:    func() clock.Millis { return l.get().Bounds.Authority },
 	})
 	k.Attach(fleet.NewReplica(adapter.RulesTable, k.RulesChanged), fleet.NewReplica(adapter.ServersTable, k.ServersChanged))
 	return k
@@ -161,8 +162,8 @@
 	})
 }
 
-func newBudget(s Settings, m *membership) *Budget {
-	return NewBudget(BudgetConfig{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Members: m.count})
+func newBudget(l *live, m *membership) *Budget {
+	return NewBudget(BudgetConfig{Bounds: func() Bounds { return l.get().Bounds }, Members: m.count})
 }
 
 func newRequestHandler(adapter Adapter, c clock.Clock, log hclog.Logger, registry metrics.Registry, k *Knowledge, table *placement.Table, pool *origin.Pool, budget *Budget, rates *Rates, crashes *placement.Crashes) *Handler {
