Count a stopped incarnation's names by its own clock

Cause: instances' clocks start at different points, so an epoch means nothing on another instance. Ruled out: differing epoch lengths; only the start of the clock differs. Change: the hand-over carries the stopped incarnation's time; the heir counts on from it.

--- a/entry/run.go
+++ b/entry/run.go
@@ -113,6 +113,7 @@
 		Body: &wire.PeerRequest_Handover{Handover: &wire.Handover{
 			Incarnation: p.Fleet.Incarnation(),
 			Actions:     p.Actions.HandOver(),
+			ClockMs:     int64(p.Clock.Now()),
 		}},
 	})
 	p.Log.Info("handed over actions", "actions", p.Actions.Len(), "peers", told)
--- a/once/table.go
+++ b/once/table.go
@@ -47,13 +47,18 @@
 
 		mu      sync.Mutex
 		actions map[string]*entry
-		// inherited holds the epoch in which each stopped incarnation handed
-		// over its actions.
-		inherited map[string]int64
+		inherited map[string]inheritance
 		// handedOver is set once this incarnation runs no more actions.
 		handedOver bool
 	}
 
+	// inheritance is when a stopped incarnation handed over its actions, by the
+	// clock of this incarnation and by that of the stopped one.
+	inheritance struct {
+		at     clock.Millis
+		itsNow clock.Millis
+	}
+
 	entry struct {
 		request  Request
 		epoch    int64
@@ -93,7 +98,7 @@
 	return &Table{
 		config:    config,
 		actions:   make(map[string]*entry),
-		inherited: make(map[string]int64),
+		inherited: make(map[string]inheritance),
 	}
 }
 
@@ -108,8 +113,8 @@
 	if known, ok := t.actions[key(request)]; ok {
 		return known.ticket(request, t.handedOver)
 	}
-	if _, ok := t.inherited[name.Incarnation]; ok {
-		return inheritedTicket(now, name)
+	if from, ok := t.inherited[name.Incarnation]; ok {
+		return from.ticket(now, name)
 	}
 	if name.Incarnation != t.config.Incarnation {
 		return Ticket{Decision: Foreign}
@@ -174,11 +179,12 @@
 }
 
 // Inherit takes in the complete list of the actions that a stopped incarnation
-// ran. An action under its prefix that is not listed was never run.
-func (t *Table) Inherit(now clock.Millis, incarnation string, actions []*wire.FinishedAction) {
+// ran, with the time of its clock. An action under its prefix that is not listed
+// was never run.
+func (t *Table) Inherit(now clock.Millis, incarnation string, itsNow clock.Millis, actions []*wire.FinishedAction) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.inherited[incarnation] = EpochAt(now)
+	t.inherited[incarnation] = inheritance{at: now, itsNow: itsNow}
 	for _, action := range actions {
 		request := Request{
 			Action:      action.GetAction(),
@@ -207,8 +213,8 @@
 			delete(t.actions, k)
 		}
 	}
-	for incarnation, epoch := range t.inherited {
-		if isOver(epoch, now-EpochLength) {
+	for incarnation, from := range t.inherited {
+		if isOver(EpochAt(from.at), now-EpochLength) {
 			delete(t.inherited, incarnation)
 		}
 	}
@@ -236,11 +242,12 @@
 	return Ticket{Decision: Run, Done: started.done}
 }
 
-// inheritedTicket decides on an action of a stopped incarnation that is not in
-// its list. The stopped incarnation may have forgotten actions by a clock that
-// was ahead of this one, so the last epoch is not vouched for.
-func inheritedTicket(now clock.Millis, name Name) Ticket {
-	if isOver(name.Epoch, now+EpochLength) {
+// ticket decides on an action of a stopped incarnation that is not in its list.
+// Names count by the stopped incarnation's clock. Its list has been on its way
+// for an unknown time, so the last epoch is not vouched for.
+func (i inheritance) ticket(now clock.Millis, name Name) Ticket {
+	itsNow := i.itsNow + now - i.at
+	if isOver(name.Epoch, itsNow+EpochLength) {
 		return Ticket{Decision: Expired}
 	}
 	return Ticket{Decision: NeverRun}
--- a/once/table_test.go
+++ b/once/table_test.go
@@ -30,6 +30,16 @@
 	running map[string]*Table
 	stopped bool
 	now     clock.Millis
+	// ahead is how many epochs the clock of b-2 is ahead of that of a-1.
+	ahead int64
+}
+
+// at returns the time by the clock of an incarnation.
+func (m *twoTables) at(incarnation string) clock.Millis {
+	if incarnation == "b-2" {
+		return m.now + clock.Millis(m.ahead)*EpochLength
+	}
+	return m.now
 }
 
 // TestActionsNeverRunTwice sends actions to two incarnations in any order,
@@ -42,6 +52,7 @@
 			ran:     make(map[string]bool),
 			running: make(map[string]*Table),
 			now:     100 * EpochLength,
+			ahead:   rapid.Int64Range(-80, 80).Draw(t, "ahead"),
 		}
 		t.Repeat(map[string]func(*rapid.T){
 			"send":      m.send,
@@ -53,17 +64,17 @@
 	})
 }
 
-func drawRequest(t *rapid.T) Request {
+func (m *twoTables) drawRequest(t *rapid.T) Request {
 	owner := rapid.SampledFrom([]string{"a-1", "b-2"}).Draw(t, "owner")
-	epoch := 99 + rapid.Int64Range(0, 2).Draw(t, "epoch")
+	epoch := EpochAt(m.at(owner)-m.now) + 99 + rapid.Int64Range(0, 2).Draw(t, "epoch")
 	action := Prefix(owner, epoch) + fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "n"))
 	return Request{Action: action, Workspace: "w", Fingerprint: []byte{1}}
 }
 
 func (m *twoTables) send(t *rapid.T) {
-	request := drawRequest(t)
+	request := m.drawRequest(t)
 	at := rapid.SampledFrom([]string{"a-1", "b-2"}).Draw(t, "at")
-	ticket := m.tables[at].Begin(m.now, request)
+	ticket := m.tables[at].Begin(m.at(at), request)
 	if ticket.Decision == NeverRun && m.ran[request.Action] {
 		t.Fatalf("%s ran, but is said never to have run", request.Action)
 	}
@@ -77,7 +88,7 @@
 }
 
 func (m *twoTables) end(t *rapid.T) {
-	request := drawRequest(t)
+	request := m.drawRequest(t)
 	table := m.running[request.Action]
 	if table == nil {
 		return
@@ -91,8 +102,9 @@
 
 func (m *twoTables) passTime(t *rapid.T) {
 	m.now += clock.Millis(rapid.Int64Range(0, 3*int64(EpochLength)).Draw(t, "span"))
-	m.tables["a-1"].Prune(m.now)
-	m.tables["b-2"].Prune(m.now)
+	for incarnation, table := range m.tables {
+		table.Prune(m.at(incarnation))
+	}
 }
 
 func (m *twoTables) handOver(*rapid.T) {
@@ -100,7 +112,7 @@
 		return
 	}
 	m.stopped = true
-	m.tables["b-2"].Inherit(m.now, "a-1", m.tables["a-1"].HandOver())
+	m.tables["b-2"].Inherit(m.at("b-2"), "a-1", m.at("a-1"), m.tables["a-1"].HandOver())
 }
 
 // TestForgottenActionsAreNotSaidToBeNew asks the heir of a stopped incarnation
@@ -125,7 +137,7 @@
 			first.Begin(began, request)
 			first.End(request, finished(request, wire.Outcome_OUTCOME_DONE))
 			first.Prune(began + c.handedOver)
-			heir.Inherit(began+min(c.handedOver, c.asked), "a-1", first.HandOver())
+			heir.Inherit(began+min(c.handedOver, c.asked), "a-1", began+c.handedOver, first.HandOver())
 			heir.Prune(began + c.asked)
 			if got := heir.Begin(began+c.asked, request).Decision; got != c.want {
 				t.Errorf("decision %d, want %d", got, c.want)
