--- a/fleet/members.go
+++ b/fleet/members.go
@@ -68,11 +68,11 @@
 	m.sharesFor = term + sharesMargin
 }
 
-// Self returns this instance's own entry.
+// Self returns this instance's own entry, which must not be changed.
 func (m *Members) Self() *wire.FleetInstance {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return proto.CloneOf(m.self)
+	return m.self
 }
 
 // SetReady says whether this instance takes requests. One that stops never does.
--- a/once/table.go
+++ b/once/table.go
@@ -45,8 +45,8 @@
 	Table struct {
 		config TableConfig
 
-		mu      sync.Mutex
-		actions map[string]*entry
+		mu        sync.Mutex
+		actions   map[string]*entry
 		inherited map[string]inheritance
 		// handedOver is set once this incarnation runs no more actions.
 		handedOver bool
--- a/steering/knowledge.go
+++ b/steering/knowledge.go
@@ -212,21 +212,42 @@
 		current[id] = k.known[id]
 		list = append(list, k.known[id])
 	}
+	k.logChanges(current)
+	k.known = current
+	k.config.Table.Update(k.config.Clock.Now(), list)
+}
+
+// logChanges logs which servers came, changed and left; where many did at once,
+// in one line. The caller holds the lock.
+func (k *Knowledge) logChanges(current map[string]placement.Server) {
+	var changed []placement.Server
 	for id, server := range current {
 		if old, ok := k.known[id]; !ok || old.Draining != server.Draining || old.Born != server.Born {
-			k.config.Log.Info("backend server", "server", id, "service", server.Service, "domain", server.FailureDomain,
-				"address", server.Address, "draining", server.Draining, "cold_ms", int64(server.ColdFor))
+			changed = append(changed, server)
 		}
 	}
+	var left []string
 	for id := range k.known {
 		if _, ok := current[id]; !ok {
-			k.config.Log.Info("backend server left", "server", id)
+			left = append(left, id)
 		}
 	}
-	k.known = current
-	k.config.Table.Update(k.config.Clock.Now(), list)
+	if len(changed)+len(left) > maxServerLines {
+		k.config.Log.Info("many backend servers changed", "listed", len(current), "changed", len(changed), "left", len(left))
+		return
+	}
+	for _, server := range changed {
+		k.config.Log.Info("backend server", "server", server.ID, "service", server.Service, "domain", server.FailureDomain,
+			"address", server.Address, "draining", server.Draining, "cold_ms", int64(server.ColdFor))
+	}
+	for _, id := range left {
+		k.config.Log.Info("backend server left", "server", id)
+	}
 }
 
+// maxServerLines bounds the lines that one change of the list logs.
+const maxServerLines = 100
+
 // holdLapsed keeps servers whose entries went during an outage. The caller
 // holds the lock.
 func (k *Knowledge) holdLapsed(now clock.Millis, list []placement.Server) {
--- a/steering/surfaces.go
+++ b/steering/surfaces.go
@@ -6,6 +6,7 @@
 	"github.com/bulrushferry/bulrushferry/clock"
 	"github.com/rcrowley/go-metrics"
 	"github.com/valyala/fasthttp"
+	"google.golang.org/protobuf/proto"
 )
 
 // lookupAge is how long callers may keep a look-up.
@@ -60,7 +61,7 @@
 	var here, near, all []string
 	running := p.Members.Alive(clock.Boot{}.Now())
 	if p.isReady() {
-		self := p.Members.Self()
+		self := proto.CloneOf(p.Members.Self())
 		self.Ready = true
 		running = append(running, self)
 	}
