--- a/soak/store_test.go
+++ b/soak/store_test.go
@@ -20,12 +20,16 @@
 		changes []storeRow
 		// wake is closed with each change.
 		wake chan struct{}
-		// busy makes the store refuse all calls.
-		busy bool
+		// busy makes the store refuse all calls; outages are the times when it
+		// did, the last one without an end while it lasts.
+		busy    bool
+		outages []outage
 		// forgotten is the version before which the history is gone.
 		forgotten int64
 	}
 
+	outage struct{ from, to time.Time }
+
 	storeRow struct {
 		Table     string `json:"table"`
 		Key       string `json:"key"`
@@ -92,9 +96,35 @@
 func (s *store) setBusy(busy bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if busy && !s.busy {
+		s.outages = append(s.outages, outage{from: time.Now()})
+	}
+	if !busy && s.busy {
+		s.outages[len(s.outages)-1].to = time.Now()
+	}
 	s.busy = busy
 }
 
+// wellTime returns for how much of a span the store served. Nobody can learn of
+// a change while it refuses all.
+func (s *store) wellTime(from, to time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	well := to.Sub(from)
+	for _, o := range s.outages {
+		end := o.to
+		if end.IsZero() || end.After(to) {
+			end = to
+		}
+		begin := o.from
+		if begin.Before(from) {
+			begin = from
+		}
+		well -= max(0, end.Sub(begin))
+	}
+	return well
+}
+
 // forget drops the history.
 func (s *store) forget() {
 	s.mu.Lock()
