--- a/placement/choose.go
+++ b/placement/choose.go
@@ -1,9 +1,7 @@
 package placement
 
 import (
-	"cmp"
 	"math/rand/v2"
-	"sort"
 
 	"github.com/bulrushferry/bulrushferry/clock"
 	"github.com/bulrushferry/bulrushferry/values"
@@ -148,51 +146,6 @@
 	return best
 }
 
-// relieve returns a server with a free slot in place of a choice that would wait,
-// where the answer comes from there earlier and within the objective.
-func (t *Table) relieve(now clock.Millis, q Query, best *candidate) *candidate {
-	if best == nil || best.wait == 0 {
-		return best
-	}
-	idle := t.idle(now, q)
-	if idle == nil || idle.time > q.Objective || idle.time+t.cost(idle) >= best.time+t.cost(best) {
-		return best
-	}
-	return idle
-}
-
-// idle returns the server with a free slot that comes first for the object among
-// those from which the answer is expected first.
-func (t *Table) idle(now clock.Millis, q Query) *candidate {
-	s := t.services[q.Service]
-	if s == nil {
-		return nil
-	}
-	var best *candidate
-	for _, region := range s.regions {
-		for _, r := range region.servers {
-			if r.load(now) >= r.info.Slots || r.isFull(now) || !t.usable(now, q, r, true) {
-				continue
-			}
-			c := &candidate{record: r, score: mix(q.Object, r.hash), warm: q.Object == 0 || r.isWarmFor(q.Object, now)}
-			t.expect(now, q, c)
-			if best == nil || t.before(c, best) {
-				best = c
-			}
-		}
-	}
-	return best
-}
-
-// before reports whether one candidate is to be preferred to another: the one
-// with the shorter time, and of equal ones the first for the object.
-func (t *Table) before(a, b *candidate) bool {
-	if order := cmp.Compare(a.time+t.cost(a), b.time+t.cost(b)); order != 0 {
-		return order < 0
-	}
-	return a.score > b.score
-}
-
 // cost returns the gain in time that a candidate must bring over one in this
 // instance's failure domain.
 func (t *Table) cost(c *candidate) clock.Millis {
@@ -206,72 +159,6 @@
 	}
 }
 
-// top returns the few servers that an object's requests go to, those of the
-// region that the plan gives it first. A strict search leaves out servers that
-// have failed lately.
-func (t *Table) top(now clock.Millis, q Query, strict bool) []candidate {
-	s := t.services[q.Service]
-	if s == nil {
-		return nil
-	}
-	object := q.Object
-	if object == 0 {
-		object = rand.Uint64()
-	}
-	groups := make([]group, 0, len(s.regions))
-	for _, r := range s.regions {
-		if !q.Allowed(r.name) {
-			continue
-		}
-		g := group{order: s.plan.order(object, r.name, r.hash)}
-		for _, server := range r.servers {
-			if t.usable(now, q, server, strict) {
-				g.insert(candidate{record: server, score: mix(object, server.hash)})
-			}
-		}
-		if g.count > 0 {
-			groups = append(groups, g)
-		}
-	}
-	sort.Slice(groups, func(i, j int) bool { return groups[i].order > groups[j].order })
-	return take(groups, t.copiesOf(now, q.Service).count)
-}
-
-// take keeps some candidates: the first two of the first region, then the first
-// ones of the next regions.
-func take(groups []group, most int) []candidate {
-	var top []candidate
-	for i := range groups {
-		some := groups[i].first[:min(groups[i].count, max(1, copiesPerRegion-i))]
-		top = append(top, some[:min(len(some), most-len(top))]...)
-		if len(top) == most {
-			break
-		}
-	}
-	return top
-}
-
-// group is the best servers of one region for an object.
-type group struct {
-	order float64
-	first [copiesPerRegion]candidate
-	count int
-}
-
-// insert keeps the best candidates in the order of their scores.
-func (g *group) insert(c candidate) {
-	i := g.count
-	for i > 0 && g.first[i-1].score < c.score {
-		i--
-	}
-	if i == copiesPerRegion {
-		return
-	}
-	copy(g.first[i+1:], g.first[i:copiesPerRegion-1])
-	g.first[i] = c
-	g.count = min(g.count+1, copiesPerRegion)
-}
-
 func (t *Table) usable(now clock.Millis, q Query, r *record, strict bool) bool {
 	if r.info.Draining || t.evacuated.Has(r.info.FailureDomain) || !q.Allowed(r.info.Region) {
 		return false
