Keep relief inside a region

Cause: the relief of full servers by free ones looked at all regions; a crowd at one region could move many requests at once to another, against the cap on shifts between regions. Change: relief stays in the region of the instance or of the choice.

--- a/placement/relief.go
+++ b/placement/relief.go
@@ -7,12 +7,14 @@
 )
 
 // relieve returns a server with a free slot in place of a choice that would wait,
-// where the answer comes from there earlier and within the objective.
+// where the answer comes from there earlier and within the objective. It stays in
+// this instance's region or the choice's, so that a crowd does not move requests
+// between regions.
 func (t *Table) relieve(now clock.Millis, q Query, best *candidate) *candidate {
 	if best == nil || best.wait == 0 {
 		return best
 	}
-	idle := t.idle(now, q)
+	idle := t.idle(now, q, best.record.info.Region)
 	if idle == nil || idle.time > q.Objective || idle.time+t.cost(idle) >= best.time+t.cost(best) {
 		return best
 	}
@@ -20,14 +22,18 @@
 }
 
 // idle returns the server with a free slot that comes first for the object among
-// those from which the answer is expected first.
-func (t *Table) idle(now clock.Millis, q Query) *candidate {
+// those from which the answer is expected first, in this instance's region and
+// another one.
+func (t *Table) idle(now clock.Millis, q Query, other string) *candidate {
 	s := t.services[q.Service]
 	if s == nil {
 		return nil
 	}
 	var best *candidate
 	for _, region := range s.regions {
+		if region.name != t.config.Region && region.name != other {
+			continue
+		}
 		for _, r := range region.servers {
 			if r.load(now) >= r.info.Slots || r.isFull(now) || !t.usable(now, q, r, true) {
 				continue
