--- a/bench/main.go
+++ b/bench/main.go
@@ -20,6 +20,8 @@
 	JSON       string        `long:"json" description:"file for the results"`
 	Plot       string        `long:"plot" description:"file for a plot as SVG"`
 	Capacity   []int         `long:"capacity" description:"measure idle fleets of these sizes instead"`
+	Emulate    []float64     `long:"emulate" description:"play a deployment on a simulated clock at these loads instead"`
+	Emulated   string        `long:"emulated" description:"JSON file of the deployment to emulate; by default that of Villacrés"`
 	Demo       bool          `long:"demo" description:"short run that edits rules, withdraws a key and kills an instance"`
 }
 
@@ -41,6 +43,9 @@
 	if len(o.Capacity) > 0 {
 		return o.capacity()
 	}
+	if len(o.Emulate) > 0 {
+		return o.emulate()
+	}
 	var rows []row
 	for _, c := range append(cases, baselineCases()...) {
 		if !wanted(o.Cases, c.name) {
--- /dev/null
+++ b/emulator/run.go
@@ -0,0 +1,186 @@
+package emulator
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+
+	"github.com/bulrushferry/bulrushferry/clock"
+	"github.com/bulrushferry/bulrushferry/placement"
+	"github.com/bulrushferry/bulrushferry/values"
+)
+
+type (
+	// world is one run.
+	world struct {
+		config  Config
+		events  events
+		random  *rand.Rand
+		servers map[string]*server
+		placers map[string]Placer
+		result  *Result
+	}
+
+	// request is one request of a caller, over both of its tries.
+	request struct {
+		kind   *Kind
+		domain Domain
+		object uint64
+		sentAt clock.Millis
+		// again is set in the second try.
+		again  bool
+		tried  values.Set[string]
+		offers int
+	}
+)
+
+const (
+	// maxOffers bounds the servers that one try is offered to.
+	maxOffers = 2
+	// retryPart is the part of the time left, as a divisor, for which a caller
+	// waits at most before it comes back.
+	retryPart = 3
+	// declinedRetry is when callers come back after all servers declined.
+	declinedRetry = 100 * clock.Millis(1)
+)
+
+// Run plays a deployment with a policy.
+func Run(c Config, policy Policy) *Result {
+	w := &world{
+		config: c, random: rand.New(rand.NewPCG(c.Seed, 0)),
+		servers: make(map[string]*server), placers: make(map[string]Placer), result: newResult(c),
+	}
+	list := w.addServers()
+	for _, d := range c.Domains {
+		w.placers[d.Name] = policy(c, d, list, w.random)
+	}
+	for i := range c.Kinds {
+		for _, d := range c.Domains {
+			w.planArrival(&c.Kinds[i], d)
+		}
+	}
+	w.events.run()
+	w.result.finish()
+	return w.result
+}
+
+// addServers makes the servers of all services.
+func (w *world) addServers() []placement.Server {
+	var list []placement.Server
+	for _, service := range w.config.Services {
+		for i := range service.Servers {
+			d := w.config.Domains[i%len(w.config.Domains)]
+			info := placement.Server{
+				ID: fmt.Sprintf("%s-%d", service.Name, i), Service: service.Name, Address: "emulated",
+				FailureDomain: d.Name, Region: d.Region, Slots: service.Slots,
+			}
+			list = append(list, info)
+			w.servers[info.ID] = &server{info: info, service: service, speed: fastest + (slowest-fastest)*w.random.Float64()}
+		}
+	}
+	return list
+}
+
+// delay returns the one-way time between regions.
+func (c Config) delay(from, to string) clock.Millis {
+	if from != to {
+		return c.RegionDelay
+	}
+	return c.DomainDelay
+}
+
+// planArrival plans the next request of a kind from a domain: a Poisson process
+// whose rate goes up and down.
+func (w *world) planArrival(kind *Kind, d Domain) {
+	rate := kind.RatePerS * w.config.Load / float64(len(w.config.Domains)) * w.wave(d)
+	gap := clock.Millis(w.random.ExpFloat64() / rate * float64(clock.Second))
+	if w.events.now+gap >= w.config.Duration {
+		return
+	}
+	w.events.after(gap, func() {
+		w.arrive(kind, d)
+		w.planArrival(kind, d)
+	})
+}
+
+// wave returns the present load of a domain's region in parts of its mean.
+func (w *world) wave(d Domain) float64 {
+	if w.config.WavePeriod == 0 {
+		return 1
+	}
+	phase := float64(len(d.Region)) + float64(d.Region[0])
+	return 1 + w.config.Swing*math.Sin(2*math.Pi*float64(w.events.now)/float64(w.config.WavePeriod)+phase)
+}
+
+func (w *world) arrive(kind *Kind, d Domain) {
+	// Objects belong to the region of their callers.
+	object := uint64(d.Region[0])<<32 | uint64(len(kind.Service))<<16 | uint64(w.random.IntN(kind.Objects)+1)
+	r := &request{kind: kind, domain: d, object: object, sentAt: w.events.now, tried: values.NewSet[string]()}
+	w.result.owe(r)
+	w.events.after(w.config.CallerDelay, func() { w.place(r) })
+}
+
+// place offers a request to a server.
+func (w *world) place(r *request) {
+	now := w.events.now
+	left := r.sentAt + r.kind.Deadline - now
+	if left <= 0 {
+		w.result.fail(r)
+		return
+	}
+	q := w.query(r, left)
+	id, refusal := w.placers[r.domain.Name].Place(now, q)
+	if refusal != nil {
+		w.refuse(r, refusal.RetryAfter)
+		return
+	}
+	r.offers++
+	r.tried = r.tried.With(id)
+	s := w.servers[id]
+	way := w.config.delay(r.domain.Region, s.info.Region)
+	w.events.after(way, func() {
+		s.arrive(&w.events, w.random, visit{kind: r.kind, object: r.object, deadline: now + left, done: func(ran bool, load int) {
+			w.result.observe(s)
+			w.events.after(way, func() { w.answered(r, id, q, ran, load) })
+		}})
+	})
+}
+
+func (w *world) query(r *request, left clock.Millis) placement.Query {
+	q := placement.Query{
+		Service: r.kind.Service, Route: r.kind.Name, Object: r.object, Except: r.tried, Safe: r.kind.Safe,
+		Left: left, Objective: r.kind.Objective,
+		Allowed: func(string) bool { return true },
+	}
+	q.Patience = placement.Patience{Objective: r.kind.Objective, Timeout: r.kind.Deadline, CameBack: r.again}.Limit()
+	return q
+}
+
+// answered takes a server's answer in at the instance.
+func (w *world) answered(r *request, id string, q placement.Query, ran bool, load int) {
+	outcome := placement.Answered
+	if !ran {
+		outcome = placement.Declined
+	}
+	w.placers[r.domain.Name].Done(w.events.now, id, q, placement.Report{Outcome: outcome, Load: load, HasLoad: true})
+	switch {
+	case ran:
+		w.events.after(w.config.CallerDelay, func() { w.result.serve(r, w.events.now) })
+	case r.offers < maxOffers:
+		w.place(r)
+	default:
+		w.refuse(r, declinedRetry)
+	}
+}
+
+// refuse has the caller come back once.
+func (w *world) refuse(r *request, after clock.Millis) {
+	w.result.Refusals++
+	if r.again {
+		w.result.fail(r)
+		return
+	}
+	r.again, r.offers, r.tried = true, 0, values.NewSet[string]()
+	left := r.sentAt + r.kind.Deadline - w.events.now
+	w.events.after(min(after, left/retryPart)+2*w.config.CallerDelay, func() { w.place(r) })
+}
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -1,8 +1,6 @@
 package placement
 
 import (
-	"math/rand/v2"
-
 	"github.com/bulrushferry/bulrushferry/clock"
 	"github.com/bulrushferry/bulrushferry/values"
 )
@@ -107,7 +105,7 @@
 		over := best.time - min(q.Left, q.Patience)
 		return nil, &Refusal{
 			Reason:     "the backend servers of service " + q.Service + " have no room in time",
-			RetryAfter: max(over, minRetryAfter) + clock.Millis(rand.IntN(retrySpread)),
+			RetryAfter: max(over, minRetryAfter) + clock.Millis(t.config.Random.IntN(retrySpread)),
 		}
 	}
 	cold := r.isCold(now)
--- a/placement/rank.go
+++ b/placement/rank.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"math/rand/v2"
 	"sort"
 
 	"github.com/bulrushferry/bulrushferry/clock"
@@ -17,7 +16,7 @@
 	}
 	object := q.Object
 	if object == 0 {
-		object = rand.Uint64()
+		object = t.config.Random.Uint64()
 	}
 	groups := make([]group, 0, len(s.regions))
 	for _, r := range s.regions {
--- a/placement/table.go
+++ b/placement/table.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math/rand/v2"
 	"sync"
 
 	"github.com/bulrushferry/bulrushferry/clock"
@@ -26,6 +27,8 @@
 		ColdSlack   float64
 		// Crashes is told of servers that have started again; it may be nil.
 		Crashes *Crashes
+		// Random draws what is left to chance; nil takes a fresh seed.
+		Random *rand.Rand
 	}
 
 	// Table holds the backend servers and what is known of them. It is safe
@@ -77,6 +80,9 @@
 
 // NewTable returns an empty table.
 func NewTable(config TableConfig) *Table {
+	if config.Random == nil {
+		config.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
 	return &Table{
 		config:   config,
 		servers:  make(map[string]*record),
--- a/steering/decisions_test.go
+++ b/steering/decisions_test.go
@@ -231,10 +231,13 @@
 func TestUrgentRequestsWaitLonger(t *testing.T) {
 	route := &routing.Route{Priority: 2}
 	workspace := &routing.Workspace{Priority: values.Some(0)}
-	if urgent, other := impatience(route.Urgency(workspace)), impatience(route.Urgency(nil)); urgent <= other {
-		t.Errorf("an urgent workspace's requests wait %d %% of the objective, others %d %%", urgent, other)
+	wait := func(w *routing.Workspace) clock.Millis {
+		return placement.Patience{Objective: 1000, Timeout: 5000, Rank: route.Urgency(w)}.Limit()
 	}
-	if least := impatience(1000); least < 50 {
-		t.Errorf("the least urgent requests wait only %d %% of the objective", least)
+	if urgent, other := wait(workspace), wait(nil); urgent <= other {
+		t.Errorf("an urgent workspace's requests wait %d ms, others %d ms", urgent, other)
+	}
+	if least := (placement.Patience{Objective: 1000, Timeout: 5000, Rank: 1000}).Limit(); least < 500 {
+		t.Errorf("the least urgent requests wait only %d of 1,000 ms", least)
 	}
 }
--- a/steering/handler.go
+++ b/steering/handler.go
@@ -146,32 +146,21 @@
 	return left
 }
 
-// patience is the objective for a caller's first try, so that servers work on
-// what can still be in time; a caller that has come back is served if at all
-// possible. The first tries of a route are those with its longest deadlines.
+// patience returns the expected time up to which the request may wait. The first
+// tries of a route are those with its longest deadlines.
 func (h *Handler) patience(j *job) clock.Millis {
 	asked, err := strconv.ParseInt(string(j.x.Request.Header.Peek(h.config.Dialect.Deadline)), 10, 64)
-	if err != nil || j.route.Objective <= 0 {
+	if err != nil {
 		return j.route.Timeout
 	}
-	if j.route.CameBack(clock.Millis(asked)) {
-		return j.route.Timeout
-	}
-	return j.route.Objective * impatience(j.route.Urgency(j.workspace)) / 100
-}
-
-// impatience returns the part of the objective, in percent, that a request of a
-// rank waits: under load the less urgent ones are turned away first.
-func impatience(rank int) clock.Millis {
-	return 100 - urgencyStep*clock.Millis(min(max(rank, 0), maxUrgencySteps))
+	return placement.Patience{
+		Objective: j.route.Objective,
+		Timeout:   j.route.Timeout,
+		Rank:      j.route.Urgency(j.workspace),
+		CameBack:  j.route.CameBack(clock.Millis(asked)),
+	}.Limit()
 }
 
-const (
-	// urgencyStep is how much of the objective each rank gives up, in percent.
-	urgencyStep     = 8
-	maxUrgencySteps = 4
-)
-
 // defaultTimeout bounds requests on routes without a timeout.
 const defaultTimeout = 30 * clock.Second
 
