--- a/emulator/policy.go
+++ b/emulator/policy.go
@@ -2,14 +2,11 @@
 
 import (
 	"math/rand/v2"
-	"slices"
-	"strconv"
 
 	"github.com/bulrushferry/bulrushferry/clock"
 	"github.com/bulrushferry/bulrushferry/placement"
 	"github.com/bulrushferry/bulrushferry/routing"
 	"github.com/bulrushferry/bulrushferry/values"
-	"github.com/cespare/xxhash/v2"
 )
 
 type (
@@ -35,57 +32,15 @@
 		object uint64
 		route  string
 	}
-
-	// simple is a policy without knowledge of its own.
-	simple struct {
-		servers map[string][]placement.Server
-		pick    func(servers []placement.Server, q placement.Query) placement.Server
-		load    map[string]int
-	}
 )
 
 // Policies are the product's placing and the baselines, by name.
 var Policies = map[string]Policy{
-	"product": newProduct,
-	"random": newSimple(func(random *rand.Rand, _ *simple) func([]placement.Server, placement.Query) placement.Server {
-		return func(servers []placement.Server, _ placement.Query) placement.Server {
-			return servers[random.IntN(len(servers))]
-		}
-	}),
-	"round robin": newSimple(func(random *rand.Rand, _ *simple) func([]placement.Server, placement.Query) placement.Server {
-		next := random.IntN(1 << 16)
-		return func(servers []placement.Server, _ placement.Query) placement.Server {
-			next++
-			return servers[next%len(servers)]
-		}
-	}),
-	"least reported load": newSimple(func(random *rand.Rand, s *simple) func([]placement.Server, placement.Query) placement.Server {
-		return func(servers []placement.Server, _ placement.Query) placement.Server {
-			start := random.IntN(len(servers))
-			best := servers[start]
-			for i := range servers {
-				if next := servers[(start+i)%len(servers)]; s.load[next.ID] < s.load[best.ID] {
-					best = next
-				}
-			}
-			return best
-		}
-	}),
-	"object hash": newSimple(func(*rand.Rand, *simple) func([]placement.Server, placement.Query) placement.Server {
-		return func(servers []placement.Server, q placement.Query) placement.Server {
-			return slices.MaxFunc(servers, func(a, b placement.Server) int {
-				if rendezvous(a, q.Object) < rendezvous(b, q.Object) {
-					return -1
-				}
-				return 1
-			})
-		}
-	}),
-}
-
-// rendezvous scores a server for an object.
-func rendezvous(s placement.Server, object uint64) uint64 {
-	return xxhash.Sum64String(s.ID + "/" + strconv.FormatUint(object, 10))
+	"product":             newProduct,
+	"random":              newBaseline(pickRandom),
+	"round robin":         newBaseline(pickInTurn),
+	"least reported load": newBaseline(pickLeastLoad),
+	"object hash":         newBaseline(pickByObject),
 }
 
 func newProduct(c Config, d Domain, servers []placement.Server, random *rand.Rand) Placer {
@@ -127,30 +82,3 @@
 	p.chosen[key] = p.chosen[key][1:]
 	p.table.Done(now, choice, report)
 }
-
-func newSimple(make func(random *rand.Rand, s *simple) func([]placement.Server, placement.Query) placement.Server) Policy {
-	return func(_ Config, _ Domain, servers []placement.Server, random *rand.Rand) Placer {
-		s := &simple{servers: map[string][]placement.Server{}, load: map[string]int{}}
-		for _, info := range servers {
-			s.servers[info.Service] = append(s.servers[info.Service], info)
-		}
-		s.pick = make(random, s)
-		return s
-	}
-}
-
-// Place implements Placer.
-func (s *simple) Place(_ clock.Millis, q placement.Query) (string, *placement.Refusal) {
-	var left []placement.Server
-	for _, info := range s.servers[q.Service] {
-		if !q.Except.Has(info.ID) {
-			left = append(left, info)
-		}
-	}
-	return s.pick(left, q).ID, nil
-}
-
-// Done implements Placer.
-func (s *simple) Done(_ clock.Millis, id string, _ placement.Query, report placement.Report) {
-	s.load[id] = report.Load
-}
