Refuse what a stopping instance may not finish

A stopping instance took requests until 3.8 s of its 6 s, and a run takes up to 2.1 s on that site when it is cold, and more when it waits at the server. Ruled out: the change of patience (the request went to a server at once); the count of running requests (mended before; the process waited to the end). Change: a stopping instance takes requests for 45 % of the time that it has (2.7 s of 6 s); from then on it refuses them at once as not run, to be sent elsewhere, with its connection closed.

--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -4,6 +4,7 @@
 package soak
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -28,6 +29,9 @@
 		silent bool
 		// scattered routes have no affinity.
 		scattered bool
+		// work, timeout and grace are other times than usual; zero takes the
+		// usual one.
+		work, timeout, grace time.Duration
 	}
 
 	domain struct{ name, region string }
@@ -65,7 +69,8 @@
 )
 
 const (
-	stopGrace = 4 * time.Second
+	routeTimeout = 1200 * time.Millisecond
+	stopGrace    = 4 * time.Second
 	// withdrawBound is how long a withdrawn key may still work, outages of the
 	// whole store apart.
 	withdrawBound = 5 * time.Second
@@ -118,6 +123,7 @@
 		d := layout.domains[i%len(layout.domains)]
 		b := startServer(t, fmt.Sprintf("i-%d", i), d.name, f.ledger)
 		b.silent, b.wellTime = layout.silent, f.store.wellTime
+		b.work = cmp.Or(layout.work, workTime)
 		f.servers = append(f.servers, b)
 		f.store.put("servers", b.id, b.row("ready", 1))
 	}
@@ -159,7 +165,7 @@
 	}
 	for name, kind := range map[string]string{"/safe/": "safe", "/unsafe/": "unsafe"} {
 		resources = append(resources, resource("routes", "r-"+kind, map[string]any{
-			"host": "a.example", "prefix": name, "kind": kind, "timeout": "1200ms", "slo": "400ms", "priority": 1,
+			"host": "a.example", "prefix": name, "kind": kind, "timeout": span(cmp.Or(f.layout.timeout, routeTimeout)), "slo": "400ms", "priority": 1,
 			"service": "desk", "maxAttempts": 2, "sessionAffinity": !f.layout.scattered,
 		}))
 	}
@@ -173,6 +179,11 @@
 	f.store.put("op", "config", map[string]any{"version": f.version, "resources": resources})
 }
 
+// span writes a time as the platform does.
+func span(d time.Duration) string {
+	return fmt.Sprint(d.Milliseconds(), "ms")
+}
+
 func resource(kind, name string, spec map[string]any) map[string]any {
 	return map[string]any{"resourceKind": kind, "metadata": map[string]any{"name": name}, "spec": spec}
 }
@@ -204,7 +215,7 @@
 		"nodeName": in.name, "ip": ip, "zone": domain, "region": region, "zones": regions,
 		"listen":    map[string]string{"front": in.front, "ready": port(), "directory": in.directory, "control": port()},
 		"bootstrap": true, "internalPortRange": []int{7220, 7235}, "limits": map[string]any{"memoryMb": 284},
-		"bounds":   []string{"grace=" + stopGrace.String(), "revoke=4s"},
+		"bounds":   []string{"grace=" + span(cmp.Or(f.layout.grace, stopGrace)), "revoke=4s"},
 		"platform": map[string]any{"address": path, "form": "table"},
 	})
 	if err == nil {
--- a/soak/server_test.go
+++ b/soak/server_test.go
@@ -35,6 +35,8 @@
 		slots   chan struct{}
 		// silent servers do not report their load.
 		silent bool
+		// work is how long a request runs.
+		work time.Duration
 		// wellTime returns for how much of a span the store served.
 		wellTime func(from, to time.Time) time.Duration
 
@@ -163,7 +165,7 @@
 	late := !b.leftAt.IsZero() && b.wellTime(b.leftAt, time.Now()) > leaveBound
 	b.mu.Unlock()
 	b.ledger.note(id, string(request.Header.Peek("X-Bulrushferry-Tenant")), len(request.Header.Peek("X-Bulrushferry-Credential")) > 0, late)
-	time.Sleep(workTime)
+	time.Sleep(b.work)
 	body := "ran " + id
 	load := ""
 	if !b.silent {
--- a/steering/handler.go
+++ b/steering/handler.go
@@ -4,6 +4,7 @@
 	"context"
 	"strconv"
 	"strings"
+	"sync/atomic"
 
 	"github.com/bulrushferry/bulrushferry/clock"
 	"github.com/bulrushferry/bulrushferry/gateway"
@@ -40,6 +41,8 @@
 	// Handler decides what becomes of callers' requests.
 	Handler struct {
 		config HandlerConfig
+		// closed is set once no further request is taken.
+		closed atomic.Bool
 	}
 
 	// job is one request on its way.
@@ -78,6 +81,12 @@
 	return &Handler{config: config}
 }
 
+// Close has further requests refused, so that a caller is not left with one that
+// cannot be finished before the process ends.
+func (h *Handler) Close() {
+	h.closed.Store(true)
+}
+
 // Serve implements gateway.Handler.
 func (h *Handler) Serve(ctx context.Context, x *gateway.Exchange) {
 	j := &job{ctx: ctx, x: x, began: h.config.Clock.Now()}
@@ -174,6 +183,9 @@
 
 // admit checks the authority to act and the workspace's rate.
 func (h *Handler) admit(j *job) bool {
+	if h.closed.Load() {
+		return h.refuse(j, fasthttp.StatusServiceUnavailable, "this instance stops", 0)
+	}
 	if !h.config.Knowledge.Joined() {
 		return h.refuse(j, fasthttp.StatusServiceUnavailable, "this instance has not joined the fleet yet", startRetry)
 	}
--- a/steering/run.go
+++ b/steering/run.go
@@ -34,6 +34,7 @@
 	Transport  *peer.Transport
 	Rates      *Rates
 	Pool       *origin.Pool
+	Handler    *Handler
 	Callers    *gateway.Server
 }
 
@@ -42,6 +43,10 @@
 	pruneInterval   = time.Second
 	// stopReserve is kept between the end of serving and the hard stop.
 	stopReserve = 700 * time.Millisecond
+	// takePercent is the part of the time from SIGTERM to SIGKILL, in percent,
+	// in which a stopping instance takes requests. What comes later may not be
+	// finished in the rest.
+	takePercent = 45
 	// idleRetire is how long before the end idle connections are closed.
 	idleRetire = 1500 * time.Millisecond
 	// memoryPercent is the part of the memory limit that the collector aims at.
@@ -143,7 +148,9 @@
 	p.Members.SetStopping()
 	p.Gossip.Spread()
 	p.Callers.Retire()
-	time.Sleep(max(0, grace-stopReserve-idleRetire))
+	time.Sleep(grace * takePercent / 100)
+	p.Handler.Close()
+	time.Sleep(time.Until(began.Add(grace - stopReserve - idleRetire)))
 	_ = callers.Close()
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(grace-stopReserve))
 	defer cancel()
