Pause in one place, and catch hang-up signals before the process serves

No other behavior changes. Tests: clock, platform and steering pass, and the soak's ChangedSettings and LateRequests.

--- a/steering/join.go
+++ b/steering/join.go
@@ -6,6 +6,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/bulrushferry/bulrushferry/clock"
 )
 
 const (
@@ -41,7 +43,7 @@
 		if time.Since(began) > joinPatience {
 			p.joined("nobody")
 		}
-		sleep(ctx, announceRetry)
+		clock.Pause(ctx, announceRetry)
 	}
 }
 
--- a/steering/rates.go
+++ b/steering/rates.go
@@ -174,7 +174,7 @@
 		for keeper, workspaces := range r.byKeeper() {
 			go r.exchange(keeper, workspaces)
 		}
-		sleep(ctx, rateInterval)
+		clock.Pause(ctx, rateInterval)
 	}
 }
 
--- a/steering/reload.go
+++ b/steering/reload.go
@@ -7,7 +7,6 @@
 	"reflect"
 	"runtime/debug"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -31,11 +30,9 @@
 	return *l.current.Load()
 }
 
-// watchSettings takes in changed settings, on SIGHUP and now and then. Nothing
+// watchSettings takes in changed settings, on a hang-up signal and now and then. Nothing
 // that they change touches a running request.
-func (p parts) watchSettings(ctx context.Context) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
+func (p parts) watchSettings(ctx context.Context, hangups chan os.Signal) {
 	defer signal.Stop(hangups)
 	ticker := time.NewTicker(settingsInterval)
 	defer ticker.Stop()
--- a/steering/run.go
+++ b/steering/run.go
@@ -4,8 +4,12 @@
 	"context"
 	"io"
 	"net"
+	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
+	"github.com/bulrushferry/bulrushferry/clock"
 	"github.com/bulrushferry/bulrushferry/fleet"
 	"github.com/bulrushferry/bulrushferry/gateway"
 	"github.com/bulrushferry/bulrushferry/origin"
@@ -92,7 +96,9 @@
 	go p.Rates.Run(background)
 	go p.refresh(background)
 	go func() { _ = p.Callers.Serve(callers) }()
-	go p.watchSettings(background)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	go p.watchSettings(background, hangups)
 	p.Log.Info("entry instance runs", "incarnation", p.Members.Self().GetIncarnation(), "callers", p.Adapter.Settings.CallerAddress)
 	<-ctx.Done()
 	p.stop(callers)
@@ -135,7 +141,7 @@
 			prune = time.Now()
 			p.Pool.Prune(p.Knowledge.Listed)
 		}
-		sleep(ctx, refreshInterval)
+		clock.Pause(ctx, refreshInterval)
 	}
 }
 
@@ -161,12 +167,3 @@
 		p.Log.Warn("this instance's entry is left behind", "error", err.Error())
 	}
 }
-
-func sleep(ctx context.Context, span time.Duration) {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
