Hold a silent server's unit until the deadline of its request

Cause: TestFaultMatrix/backend_server_killed failed once with more requests at a server than its slots. A trace of what ran there (servers cold for 9 s, load 1.3) showed a request 910 ms old with 900 ms of budget beside a full set: its instance had given the unit back at the timeout. fasthttp answers its own ErrTimeout when nothing was read before the deadline; only os.ErrDeadlineExceeded was taken for a timeout, so every answer that did not come at all was a lost connection: the unit was free while the server still worked, and the request was noted as one that crashes servers. Ruled out: parts that overlap between instances (three units in all, two and one), units freed twice (checked by the pool's own invariant). Change: the connection notes its own read error, and that decides. With a timeout the idle connections that have not worked since the exchange began are closed too, which the wrong class had done before by accident. Tests: three silent rows in TestExchangeRefusesAnswers and TestSilentServerKeepsItsUnit, failing before (connection_lost, 0 units, in quarantine), passing now.

--- a/backend/backend_test.go
+++ b/backend/backend_test.go
@@ -47,6 +47,7 @@
 }
 
 func TestExchangeRefusesAnswers(t *testing.T) {
+	const silence = "(silence)"
 	cases := map[string]struct {
 		answer string
 		want   *errorx.Type
@@ -60,11 +61,20 @@
 		"cut in a chunk":       {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab", ErrLost},
 		"declined":             {"HTTP/1.1 503 No\r\nContent-Length: 0\r\nNot-Run: 1\r\n\r\n", ErrDeclined},
 		"closed without words": {"", ErrLost},
+		"silent":               {silence, ErrTimeout},
+		"silent in the head":   {"HTTP/1.1 200 OK\r\nContent-" + silence, ErrTimeout},
+		"silent in the body":   {"HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nok" + silence, ErrTimeout},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			address := serve(t, func(conn net.Conn, _ *fasthttp.Request) { _, _ = io.WriteString(conn, c.answer) })
-			deadline := time.Now().Add(time.Second)
+			address := serve(t, func(conn net.Conn, _ *fasthttp.Request) {
+				answer, silent := strings.CutSuffix(c.answer, silence)
+				_, _ = io.WriteString(conn, answer)
+				if silent {
+					time.Sleep(time.Second)
+				}
+			})
+			deadline := time.Now().Add(300 * time.Millisecond)
 			conn, err := dial(netip.Addr{}, address, deadline)
 			if err != nil {
 				t.Fatal(err)
@@ -140,6 +150,28 @@
 	}
 }
 
+// TestSilentServerKeepsItsUnit runs a request that a server does not answer. The
+// server may be running it until its deadline, so the unit stays taken, and a
+// timeout is no sign of a crash.
+func TestSilentServerKeepsItsUnit(t *testing.T) {
+	silent := serve(t, func(net.Conn, *fasthttp.Request) { time.Sleep(3 * time.Second) })
+	pool := newTestPool(silent, silent)
+	result := call(pool, true, 200)
+	if !errorx.IsOfType(result.Err, ErrTimeout) {
+		t.Errorf("got %v, want a timeout", result.Err)
+	}
+	servers := pool.Candidates("s")
+	if n := servers[0].GetInFlight() + servers[1].GetInFlight(); n != 1 {
+		t.Errorf("%d units are taken just after the deadline, want 1", n)
+	}
+	for range 3 {
+		call(pool, true, 50)
+	}
+	if pool.Quarantine().Holds([]byte("f")) {
+		t.Error("timeouts have put the request into quarantine")
+	}
+}
+
 // TestOnceIsSentOnce counts what reaches servers that cut every answer.
 func TestOnceIsSentOnce(t *testing.T) {
 	for range 20 {
--- a/backend/call.go
+++ b/backend/call.go
@@ -150,7 +150,7 @@
 	p.closeConn(s, c)
 	switch {
 	case errorx.IsOfType(err, ErrTimeout):
-		p.timedOut(s, call, now)
+		p.timedOut(s, call, started, now)
 		return out
 	case errorx.IsOfType(err, ErrDeclined):
 		p.declined(s, call)
@@ -177,10 +177,12 @@
 }
 
 // timedOut keeps the unit taken until the request's own deadline has passed,
-// for the server may still be running it behind a silent connection.
-func (p *Pool) timedOut(s *server, call *Call, now clock.Millis) {
+// for the server may still be running it behind a silent connection. The idle
+// connections that have not worked since the exchange began may be silent too.
+func (p *Pool) timedOut(s *server, call *Call, started, now clock.Millis) {
 	p.mu.Lock()
-	s.latency.add(now - s.triedAt)
+	s.latency.add(now - started)
+	s.closeIdleBefore(started)
 	p.mu.Unlock()
 	hold := max(call.Deadline-now, 0) + cancelMargin
 	time.AfterFunc(hold.Duration(), func() { p.release(s) })
@@ -270,6 +272,20 @@
 	}
 }
 
+// closeIdleBefore closes the idle connections that were last used before a time.
+func (s *server) closeIdleBefore(usedBefore clock.Millis) {
+	kept := s.idle[:0]
+	for _, c := range s.idle {
+		if c.usedAt >= usedBefore {
+			kept = append(kept, c)
+			continue
+		}
+		_ = c.Close()
+		s.open--
+	}
+	s.idle = kept
+}
+
 func (s *server) closeIdle() {
 	for _, c := range s.idle {
 		_ = c.Close()
--- a/backend/conn.go
+++ b/backend/conn.go
@@ -25,6 +25,9 @@
 		usedAt clock.Millis
 		// written counts the bytes handed to the operating system.
 		written int64
+		// readErr is the last error of the connection itself, which the parser
+		// may have replaced by its own.
+		readErr error
 	}
 
 	// exchangeLimits bound one exchange on a connection.
@@ -68,11 +71,20 @@
 		return nil, ErrNotSent.Wrap(err, "connecting to backend server %s", address)
 	}
 	c := &conn{Conn: raw}
-	c.reader = bufio.NewReaderSize(raw, bufferBytes)
+	c.reader = bufio.NewReaderSize(c, bufferBytes)
 	c.writer = bufio.NewWriterSize(c, bufferBytes)
 	return c, nil
 }
 
+// Read notes the connection's own error.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err != nil {
+		c.readErr = err
+	}
+	return n, err
+}
+
 // Write counts the bytes that may reach the backend server.
 func (c *conn) Write(p []byte) (int, error) {
 	c.written += int64(len(p))
@@ -148,7 +160,7 @@
 }
 
 func (c *conn) readError(err error) error {
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	if errors.Is(c.readErr, os.ErrDeadlineExceeded) {
 		return ErrTimeout.Wrap(err, "waiting for the answer")
 	}
 	return ErrLost.Wrap(err, "reading the answer")
