Use idle connections past the deadline of their last request, and one loss for a silent server

Ruled out: idle time limits (8 s, 5 s), the server's own timeouts. Change: IsQuiet looks through Control, which knows no deadlines. After an exchange without an answer in time the pool closes the idle connections to that server that have not worked since the exchange began; the metric origin.distrusted counts them.

--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -267,3 +269,84 @@
 		t.Fatalf("the server noticed after %s", at.Sub(began))
 	}
 }
+
+// silencedServer answers a request on each connection only until silence falls
+// on those that are open; later ones work.
+type silencedServer struct {
+	silence  atomic.Bool
+	arrived  sync.WaitGroup
+	together int
+}
+
+func (s *silencedServer) run(t *testing.T, listener net.Listener) {
+	t.Helper()
+	s.arrived.Add(s.together)
+	for {
+		c, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go s.serve(c, s.silence.Load())
+	}
+}
+
+// serve answers the first requests together, so that each has a connection.
+func (s *silencedServer) serve(c net.Conn, late bool) {
+	defer func() { _ = c.Close() }()
+	reader := bufio.NewReader(c)
+	for first := true; ; first = false {
+		var request fasthttp.Request
+		if err := request.Read(reader); err != nil {
+			return
+		}
+		if s.silence.Load() && !late {
+			continue
+		}
+		if first && !late {
+			s.arrived.Done()
+			s.arrived.Wait()
+		}
+		_, _ = c.Write([]byte(answerTo("1", "", "body")))
+	}
+}
+
+// TestSilenceCostsOneRequest lets all kept connections to a server go silent
+// while new ones work. Only the first request after that may get no answer.
+func TestSilenceCostsOneRequest(t *testing.T) {
+	const kept = 6
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	silenced := &silencedServer{together: kept}
+	go silenced.run(t, listener)
+	pool := newTestPool()
+	pool.config.MaxConnections = func(string) int { return kept }
+	server := placement.Server{ID: "s", Service: "desk", Region: "a", Address: listener.Addr().String()}
+	do := func() error {
+		var response fasthttp.Response
+		_, err := pool.Do(context.Background(), server, true, testRequest("1"), &response)
+		return err
+	}
+	var wg sync.WaitGroup
+	for range kept {
+		wg.Go(func() {
+			if err := do(); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	wg.Wait()
+	time.Sleep(10 * time.Millisecond)
+	silenced.silence.Store(true)
+	lost := 0
+	for range kept {
+		if do() != nil {
+			lost++
+		}
+	}
+	if lost != 1 {
+		t.Errorf("%d of %d requests got no answer after the silence, want 1", lost, kept)
+	}
+}
--- a/origin/pool.go
+++ b/origin/pool.go
@@ -79,6 +79,7 @@
 		p.discard(server, c)
 		return Answer{}, ErrUnreached.Wrap(err, "setting the deadline")
 	}
+	began := p.config.Clock.Now()
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	reusable, err := c.exchange(p.config.Dialect, request.ID, request.encode(p.config.Dialect), response)
 	if !stop() {
@@ -87,6 +88,7 @@
 	}
 	if err != nil {
 		p.discard(server, c)
+		p.distrust(server, began, err)
 		return Answer{}, err
 	}
 	c.keepFor(response)
@@ -218,6 +220,38 @@
 	p.unreserve(server)
 }
 
+// distrust closes the idle connections to a server that have not worked since a
+// time, after an exchange that got no answer in time: what silenced its
+// connection may have silenced them too.
+func (p *Pool) distrust(server placement.Server, since clock.Millis, err error) {
+	if !errorx.IsOfType(err, ErrOverdue) {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.host(server)
+	closed := h.keep(func(c *conn) bool { return c.usedAt >= since })
+	metrics.GetOrRegisterCounter("origin.distrusted", p.config.Metrics).Inc(int64(closed))
+}
+
+// keep closes the idle connections that are not wanted and returns their number.
+// The caller holds the pool's lock.
+func (h *host) keep(wanted func(*conn) bool) int {
+	kept := h.idle[:0]
+	for _, c := range h.idle {
+		if wanted(c) {
+			kept = append(kept, c)
+			continue
+		}
+		_ = c.Close()
+	}
+	closed := len(h.idle) - len(kept)
+	clear(h.idle[len(kept):])
+	h.idle = kept
+	h.open -= closed
+	return closed
+}
+
 // Prune closes connections that have idled too long and forgets servers that
 // are no longer listed.
 func (p *Pool) Prune(listed func(id string) bool) {
@@ -225,16 +259,7 @@
 	defer p.mu.Unlock()
 	now := p.config.Clock.Now()
 	for id, h := range p.hosts {
-		kept := h.idle[:0]
-		for _, c := range h.idle {
-			if listed(id) && now-c.usedAt < c.usableFor {
-				kept = append(kept, c)
-				continue
-			}
-			_ = c.Close()
-			h.open--
-		}
-		h.idle = kept
+		h.keep(func(c *conn) bool { return listed(id) && now-c.usedAt < c.usableFor })
 		if h.open == 0 && !listed(id) {
 			delete(p.hosts, id)
 		}
--- a/socket/socket.go
+++ b/socket/socket.go
@@ -34,7 +34,7 @@
 }
 
 // IsQuiet reports whether an idle connection looks open: nothing can be read
-// from it, not even its end.
+// from it, not even its end. Deadlines of earlier exchanges don't count.
 func IsQuiet(c net.Conn) bool {
 	conn, ok := c.(syscall.Conn)
 	if !ok {
@@ -45,11 +45,10 @@
 		return false
 	}
 	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
+	err = raw.Control(func(fd uintptr) {
 		var buffer [1]byte
 		_, _, peekErr := syscall.Recvfrom(int(fd), buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		quiet = errors.Is(peekErr, syscall.EAGAIN)
-		return true
 	})
 	return err == nil && quiet
 }
--- a/socket/socket_test.go
+++ b/socket/socket_test.go
@@ -9,11 +9,17 @@
 func TestIsQuiet(t *testing.T) {
 	cases := map[string]struct {
 		other func(net.Conn)
-		want  bool
+		// overdue is set where the deadline of the last exchange has passed.
+		overdue bool
+		// closed is set where this end closes it too.
+		closed bool
+		want   bool
 	}{
-		"open":         {func(net.Conn) {}, true},
-		"closed":       {func(c net.Conn) { _ = c.Close() }, false},
-		"unread bytes": {func(c net.Conn) { _, _ = c.Write([]byte("x")) }, false},
+		"open":              {other: func(net.Conn) {}, want: true},
+		"open and overdue":  {other: func(net.Conn) {}, overdue: true, want: true},
+		"closed":            {other: func(c net.Conn) { _ = c.Close() }},
+		"closed at our end": {other: func(net.Conn) {}, closed: true},
+		"unread bytes":      {other: func(c net.Conn) { _, _ = c.Write([]byte("x")) }},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -34,6 +40,12 @@
 			defer func() { _ = other.Close() }()
 			test.other(other)
 			time.Sleep(50 * time.Millisecond)
+			if test.overdue {
+				_ = c.SetDeadline(time.Now().Add(-time.Second))
+			}
+			if test.closed {
+				_ = c.Close()
+			}
 			if got := IsQuiet(c); got != test.want {
 				t.Errorf("quiet: %v, want %v", got, test.want)
 			}
