Let the stand-in's servers end their work at a deadline and when they are killed

Ruled out: the instance's own hold (deadline and 100 ms), which had passed. Change: a request's work ends 50 ms after its Deadline-Ms or when the server goes down, unanswered; a connection accepted in that moment is closed. The check of the slots is as strict as before.

--- a/standin/backend.go
+++ b/standin/backend.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"net"
+	"strconv"
 	"sync"
 	"time"
 
@@ -21,9 +22,11 @@
 		// slots holds one token a slot; requests beyond them wait.
 		slots chan struct{}
 
-		mu           sync.Mutex
-		listener     net.Listener
-		conns        map[net.Conn]int
+		mu       sync.Mutex
+		listener net.Listener
+		conns    map[net.Conn]int
+		// life ends when the server goes down, and its requests with it.
+		life         chan struct{}
 		inFlight     int
 		generation   int
 		draining     bool
@@ -44,16 +47,19 @@
 )
 
 const (
-	loadPath       = "/load"
-	crashMark      = "crash-the-server"
-	crashTime      = 3 * time.Second
-	drainGrace     = 3 * time.Second
-	coldFactor     = 4
-	requestIDName  = "Bulrushferry-Request-Id"
-	workspaceName  = "Bulrushferry-Workspace"
-	actionName     = "Idempotency-Key"
-	nonceArgument  = "nonce"
-	silenceTime    = time.Minute
+	loadPath      = "/load"
+	crashMark     = "crash-the-server"
+	crashTime     = 3 * time.Second
+	drainGrace    = 3 * time.Second
+	coldFactor    = 4
+	requestIDName = "Bulrushferry-Request-Id"
+	workspaceName = "Bulrushferry-Workspace"
+	actionName    = "Idempotency-Key"
+	nonceArgument = "nonce"
+	silenceTime   = time.Minute
+	deadlineName  = "Deadline-Ms"
+	// noticeTime is how long a server takes to notice a deadline.
+	noticeTime     = 50 * time.Millisecond
 	maxRequestSize = 16 << 20
 )
 
@@ -72,6 +78,7 @@
 			Address:       fmt.Sprintf("%s%d:%d", region.GetServerPrefix(), i+1, service.GetPort()),
 		},
 		conns:      make(map[net.Conn]int),
+		life:       make(chan struct{}),
 		slots:      make(chan struct{}, service.GetSlots()),
 		slowFactor: 1,
 	}
@@ -114,6 +121,10 @@
 func (s *backendServer) opened(c net.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.down {
+		_ = c.(*countedConn).Conn.Close()
+		return
+	}
 	s.conns[c] = s.generation
 	if len(s.conns) > int(s.service.GetConnections()) {
 		s.world.log.overConnections.Add(1)
@@ -163,12 +174,53 @@
 	}
 	defer s.end()
 	s.world.log.run(s, &ctx.Request, time.Since(s.world.started))
-	s.slots <- struct{}{}
-	time.Sleep(s.serviceTime(ctx))
-	<-s.slots
+	if !s.work(ctx) {
+		closeUnanswered(ctx)
+		return
+	}
 	s.respond(ctx)
 }
 
+// work takes a request's time. It reports whether the work came to its end
+// before the request's deadline and while the server was up.
+func (s *backendServer) work(ctx *fasthttp.RequestCtx) bool {
+	s.mu.Lock()
+	life := s.life
+	s.mu.Unlock()
+	overdue := deadlineOf(ctx)
+	select {
+	case s.slots <- struct{}{}:
+	case <-overdue:
+		return false
+	case <-life:
+		return false
+	}
+	defer func() { <-s.slots }()
+	select {
+	case <-time.After(s.serviceTime(ctx)):
+		return true
+	case <-overdue:
+		return false
+	case <-life:
+		return false
+	}
+}
+
+// deadlineOf returns a channel that says when a request's deadline was noticed;
+// it never does for a request without one.
+func deadlineOf(ctx *fasthttp.RequestCtx) <-chan time.Time {
+	left, err := strconv.Atoi(string(ctx.Request.Header.Peek(deadlineName)))
+	if err != nil {
+		return nil
+	}
+	return time.After(time.Duration(left)*time.Millisecond + noticeTime)
+}
+
+func closeUnanswered(ctx *fasthttp.RequestCtx) {
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(func(c net.Conn) { _ = c.Close() })
+}
+
 func (s *backendServer) respond(ctx *fasthttp.RequestCtx) {
 	cut, cross := s.mangles()
 	id := string(ctx.Request.Header.Peek(requestIDName))
@@ -288,10 +340,12 @@
 	}
 	s.down = down
 	if !down {
+		s.life = make(chan struct{})
 		go func() { _ = s.listen() }()
 		return
 	}
 	_ = s.listener.Close()
+	close(s.life)
 	for c := range s.conns {
 		_ = c.(*countedConn).Conn.Close()
 	}
