Bound how fast requests change the region in which they run

Change: placement keeps the present part of detours by requests and the usual one by time; a request may leave its region only while the present part is at most 0.4 of the bound above the usual one, and one that need not leave does while it is as far below, where a warm server with a free slot is away. The bound maxShift comes from the settings and is taken while running.

--- a/placement/choose.go
+++ b/placement/choose.go
@@ -95,7 +95,8 @@
 func (t *Table) Choose(now clock.Millis, q Query) (*Choice, *Refusal) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	best := t.relieve(now, q, t.best(now, q))
+	top := t.topOf(now, q)
+	best := t.pick(now, q, top)
 	if best == nil {
 		return nil, &Refusal{Reason: "no backend server of service " + q.Service + " may take the request", RetryAfter: noServerRetry}
 	}
@@ -119,6 +120,7 @@
 		record: r, query: q, warm: best.warm, sentAt: now,
 		raw: best.raw, calm: r.load(now) < r.info.Slots && !cold,
 	}
+	t.detours.note(now, r.info.Region != top[0].record.info.Region)
 	r.inFlight++
 	if q.Object != 0 {
 		r.remember(q.Object, now)
@@ -126,15 +128,40 @@
 	return choice, nil
 }
 
-// best returns the candidate with the shortest expected time.
-func (t *Table) best(now clock.Millis, q Query) *candidate {
+// pick returns the candidate to take within the bound on requests that leave
+// their region, or nil where there is none.
+func (t *Table) pick(now clock.Millis, q Query, top []candidate) *candidate {
+	if len(top) == 0 {
+		return nil
+	}
+	if t.detours.mustMove(now) {
+		if c := t.keepAway(now, q, top[0].record.info.Region); c != nil {
+			return c
+		}
+	}
+	stays := !t.detours.mayMove(now)
+	return t.relieve(now, q, t.best(now, q, top, stays), stays)
+}
+
+// topOf returns the few servers that an object's requests go to, those that
+// have failed lately only where there are no others.
+func (t *Table) topOf(now clock.Millis, q Query) []candidate {
 	top := t.top(now, q, true)
 	if len(top) == 0 {
 		top = t.top(now, q, false)
 	}
+	return top
+}
+
+// best returns the candidate with the shortest expected time. Where the request
+// stays, only those in the region of the first one count.
+func (t *Table) best(now clock.Millis, q Query, top []candidate, stays bool) *candidate {
 	var best *candidate
 	for i := range top {
 		c := &top[i]
+		if stays && c.record.info.Region != top[0].record.info.Region {
+			continue
+		}
 		c.warm = q.Object == 0 || c.record.isWarmFor(q.Object, now) || (i == 0 && now-c.record.since >= settledAge)
 		t.expect(now, q, c)
 		if best == nil || c.time+t.cost(c) < best.time+t.cost(best) {
--- a/placement/relief.go
+++ b/placement/relief.go
@@ -4,17 +4,22 @@
 	"cmp"
 
 	"github.com/bulrushferry/bulrushferry/clock"
+	"github.com/bulrushferry/bulrushferry/values"
 )
 
 // relieve returns a server with a free slot in place of a choice that would wait,
 // where the answer comes from there earlier and within the objective. It stays in
-// this instance's region or the choice's, so that a crowd does not move requests
-// between regions.
-func (t *Table) relieve(now clock.Millis, q Query, best *candidate) *candidate {
+// the choice's region or, unless the request stays, this instance's, so that a
+// crowd does not move requests between regions.
+func (t *Table) relieve(now clock.Millis, q Query, best *candidate, stays bool) *candidate {
 	if best == nil || best.wait == 0 {
 		return best
 	}
-	idle := t.idle(now, q, best.record.info.Region)
+	regions := values.NewSet(best.record.info.Region)
+	if !stays {
+		regions = regions.With(t.config.Region)
+	}
+	idle := t.idle(now, q, regions)
 	if idle == nil || idle.time > q.Objective || idle.time+t.cost(idle) >= best.time+t.cost(best) {
 		return best
 	}
@@ -22,16 +27,15 @@
 }
 
 // idle returns the server with a free slot that comes first for the object among
-// those from which the answer is expected first, in this instance's region and
-// another one.
-func (t *Table) idle(now clock.Millis, q Query, other string) *candidate {
+// those in some regions from which the answer is expected first.
+func (t *Table) idle(now clock.Millis, q Query, regions values.Set[string]) *candidate {
 	s := t.services[q.Service]
 	if s == nil {
 		return nil
 	}
 	var best *candidate
 	for _, region := range s.regions {
-		if region.name != t.config.Region && region.name != other {
+		if !regions.Has(region.name) {
 			continue
 		}
 		for _, r := range region.servers {
--- a/placement/table.go
+++ b/placement/table.go
@@ -25,6 +25,9 @@
 		// second it bears rate times overage plus slack.
 		ColdOverage float64
 		ColdSlack   float64
+		// MaxShift is the largest part of a region's requests that may change
+		// the region in which they run within a short time; zero means no bound.
+		MaxShift float64
 		// Crashes is told of servers that have started again; it may be nil.
 		Crashes *Crashes
 		// Random draws what is left to chance; nil takes a fresh seed.
@@ -45,6 +48,7 @@
 		self      uint64
 		work      map[string]*workTimes
 		copies    map[string]*copies
+		detours   detours
 		distance  map[string]clock.Millis
 		started   bool
 	}
@@ -89,6 +93,7 @@
 		services: make(map[string]*serviceServers),
 		work:     make(map[string]*workTimes),
 		copies:   make(map[string]*copies),
+		detours:  detours{share: config.MaxShift},
 		distance: make(map[string]clock.Millis),
 	}
 }
@@ -173,6 +178,13 @@
 	t.config.ColdOverage, t.config.ColdSlack = overage, slack
 }
 
+// SetMaxShift changes the bound on requests that change their region.
+func (t *Table) SetMaxShift(share float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.detours.share = share
+}
+
 // Evacuate takes in the failure domains that get nothing. The servers of one
 // that is taken back count as cold.
 func (t *Table) Evacuate(now clock.Millis, domains values.Set[string]) {
--- a/steering/reload.go
+++ b/steering/reload.go
@@ -71,6 +71,7 @@
 	limitMemory(settings)
 	p.Members.SetTerm(settings.Bounds.Authority)
 	p.Table.SetColdLimits(settings.Bounds.ColdOverage, settings.Bounds.ColdSlack)
+	p.Table.SetMaxShift(settings.Bounds.MaxShift)
 }
 
 // inForce returns new settings as far as they may change while the process runs:
--- a/steering/settings.go
+++ b/steering/settings.go
@@ -48,6 +48,9 @@
 		RetrySlack  float64
 		ColdOverage float64
 		ColdSlack   float64
+		// MaxShift is the largest part of a region's requests that may change
+		// the region in which they run within a short time.
+		MaxShift float64
 	}
 
 	// Store is the platform's store.
--- a/steering/wiring.go
+++ b/steering/wiring.go
@@ -79,6 +79,7 @@
 		Used:          !s.FirstStart,
 		ColdOverage:   s.Bounds.ColdOverage,
 		ColdSlack:     s.Bounds.ColdSlack,
+		MaxShift:      s.Bounds.MaxShift,
 		Crashes:       crashes,
 	})
 }
