Watch connections in one place for both pools of connections

Ruled out: one pool for both, for their limits and answers differ. Change: socket.Watched remembers reads and writes; both pools use it. Conclusion: one place less to forget.

--- a/backend/conn.go
+++ b/backend/conn.go
@@ -6,11 +6,11 @@
 	"io"
 	"net"
 	"net/netip"
-	"os"
 	"strconv"
 	"time"
 
 	"github.com/bulrushferry/bulrushferry/clock"
+	"github.com/bulrushferry/bulrushferry/socket"
 	"github.com/valyala/fasthttp"
 )
 
@@ -18,16 +18,11 @@
 	// conn is one connection to a backend server. It carries one request at a
 	// time, and is never used again after a request on it has failed.
 	conn struct {
-		net.Conn
+		*socket.Watched
 		reader *bufio.Reader
 		writer *bufio.Writer
 		// usedAt is when the last whole answer came.
 		usedAt clock.Millis
-		// written counts the bytes handed to the operating system.
-		written int64
-		// readErr is the last error of the connection itself, which the parser
-		// may have replaced by its own.
-		readErr error
 	}
 
 	// exchangeLimits bound one exchange on a connection.
@@ -70,31 +65,20 @@
 	if err != nil {
 		return nil, ErrNotSent.Wrap(err, "connecting to backend server %s", address)
 	}
-	c := &conn{Conn: raw}
+	c := &conn{Watched: socket.Watch(raw)}
 	c.reader = bufio.NewReaderSize(c, bufferBytes)
 	c.writer = bufio.NewWriterSize(c, bufferBytes)
 	return c, nil
 }
 
-// Read notes the connection's own error.
-func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if err != nil {
-		c.readErr = err
-	}
-	return n, err
-}
-
-// Write counts the bytes that may reach the backend server.
-func (c *conn) Write(p []byte) (int, error) {
-	c.written += int64(len(p))
-	return c.Conn.Write(p)
+// isAlive reports whether an idle connection may carry another request.
+func (c *conn) isAlive() bool {
+	return c.reader.Buffered() == 0 && c.IsQuiet()
 }
 
 // exchange sends a request and reads the whole answer. After any error the
 // connection must be closed.
 func (c *conn) exchange(request *fasthttp.Request, response *fasthttp.Response, limits exchangeLimits) error {
-	c.written = 0
 	response.Reset()
 	request.Header.Set(RequestIDHeader, limits.requestID)
 	request.Header.Set(DeadlineHeader, strconv.FormatInt(int64(limits.budget), 10))
@@ -146,6 +130,7 @@
 }
 
 func (c *conn) send(request *fasthttp.Request) error {
+	before := c.Sent()
 	err := request.Write(c.writer)
 	if err == nil {
 		err = c.writer.Flush()
@@ -153,14 +138,14 @@
 	if err == nil {
 		return nil
 	}
-	if c.written == 0 {
+	if c.Sent() == before {
 		return ErrNotSent.Wrap(err, "sending the request")
 	}
 	return ErrLost.Wrap(err, "sending the request")
 }
 
 func (c *conn) readError(err error) error {
-	if errors.Is(c.readErr, os.ErrDeadlineExceeded) {
+	if c.IsOverdue(err) {
 		return ErrTimeout.Wrap(err, "waiting for the answer")
 	}
 	return ErrLost.Wrap(err, "reading the answer")
--- a/backend/server.go
+++ b/backend/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"github.com/bulrushferry/bulrushferry/clock"
-	"github.com/bulrushferry/bulrushferry/socket"
 	"github.com/bulrushferry/bulrushferry/wire"
 )
 
@@ -130,7 +129,7 @@
 	for len(s.idle) > 0 {
 		last := s.idle[len(s.idle)-1]
 		s.idle = s.idle[:len(s.idle)-1]
-		if last.usedAt >= usedAfter && alive(last) {
+		if last.usedAt >= usedAfter && last.isAlive() {
 			return last
 		}
 		s.open--
@@ -138,8 +137,3 @@
 	}
 	return nil
 }
-
-// alive reports whether an idle connection may carry another request.
-func alive(c *conn) bool {
-	return c.reader.Buffered() == 0 && socket.IsQuiet(c.Conn)
-}
--- a/origin/conn.go
+++ b/origin/conn.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"errors"
 	"net"
-	"os"
 	"strconv"
 	"strings"
 
@@ -15,15 +14,12 @@
 
 // conn is one connection to a backend server. It carries one request at a time.
 type conn struct {
-	net.Conn
+	*socket.Watched
 	reader *bufio.Reader
 	// usedAt is when the last answer came, usableFor how long after it the
 	// server keeps the connection.
 	usedAt    clock.Millis
 	usableFor clock.Millis
-	// readErr is the last error of the connection itself, which the
-	// decoder's errors do not always carry.
-	readErr error
 }
 
 const (
@@ -38,23 +34,14 @@
 )
 
 func newConn(c net.Conn) *conn {
-	wrapped := &conn{Conn: c, usableFor: maxIdle}
+	wrapped := &conn{Watched: socket.Watch(c), usableFor: maxIdle}
 	wrapped.reader = bufio.NewReaderSize(wrapped, readBufferBytes)
 	return wrapped
 }
 
-// Read implements io.Reader.
-func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if err != nil {
-		c.readErr = err
-	}
-	return n, err
-}
-
-// alive reports whether an idle connection may carry another request.
-func (c *conn) alive() bool {
-	return c.reader.Buffered() == 0 && socket.IsQuiet(c.Conn)
+// isAlive reports whether an idle connection may carry another request.
+func (c *conn) isAlive() bool {
+	return c.reader.Buffered() == 0 && c.IsQuiet()
 }
 
 // exchange sends a request and reads the answer to it. It reports whether the
@@ -154,7 +141,7 @@
 }
 
 func (c *conn) asError(err error, doing string) error {
-	if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(c.readErr, os.ErrDeadlineExceeded) {
+	if c.IsOverdue(err) {
 		return ErrOverdue.Wrap(err, "%s", doing)
 	}
 	if errors.Is(err, net.ErrClosed) {
--- a/origin/pool.go
+++ b/origin/pool.go
@@ -157,7 +157,7 @@
 			return nil
 		}
 		age := p.config.Clock.Now() - c.usedAt
-		if age < min(limit, c.usableFor) && c.alive() {
+		if age < min(limit, c.usableFor) && c.isAlive() {
 			return c
 		}
 		p.discard(server, c)
--- /dev/null
+++ b/socket/watched.go
@@ -0,0 +1,52 @@
+package socket
+
+import (
+	"errors"
+	"net"
+	"os"
+)
+
+// Watched is a connection that remembers what became of its reads and writes,
+// for a parser may replace the connection's error by its own. It is not safe for
+// concurrent use.
+type Watched struct {
+	net.Conn
+	sent    int64
+	readErr error
+}
+
+// Watch returns a watched connection.
+func Watch(c net.Conn) *Watched {
+	return &Watched{Conn: c}
+}
+
+// Read implements io.Reader.
+func (w *Watched) Read(p []byte) (int, error) {
+	n, err := w.Conn.Read(p)
+	if err != nil {
+		w.readErr = err
+	}
+	return n, err
+}
+
+// Write implements io.Writer.
+func (w *Watched) Write(p []byte) (int, error) {
+	w.sent += int64(len(p))
+	return w.Conn.Write(p)
+}
+
+// Sent returns the number of bytes that may have reached the other end.
+func (w *Watched) Sent() int64 {
+	return w.sent
+}
+
+// IsOverdue reports whether an exchange that ended with an error ran into the
+// connection's deadline.
+func (w *Watched) IsOverdue(err error) bool {
+	return errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(w.readErr, os.ErrDeadlineExceeded)
+}
+
+// IsQuiet reports whether the idle connection looks open.
+func (w *Watched) IsQuiet() bool {
+	return IsQuiet(w.Conn)
+}
