See the crowd on servers that have not reported lately

The plan had not changed and detours were under 3 in 100. Ruled out: changed plans, detours, evacuation, cold limits. Change: without a recent report a server has as many requests from others as servers of its service and failure domain usually have, a fading average of all reports; an overdue answer counts as a report of a long queue. Ceilings after declines go by what is known only. Test: TestCrowdsAreSeenOnOtherServers: 200 of 200 requests went to the run over servers that had not reported; now none, and some again once the reports are old. TestCrowdingFades.

--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -104,6 +104,7 @@
 		r.fail(now)
 	case Overdue:
 		r.correct(c, max(c.raw, now-c.sentAt))
+		r.crowd.note(now, t.crowdOf(c, now-c.sentAt))
 	case GivenUp:
 	}
 }
@@ -127,6 +128,12 @@
 	times.all.add(took)
 }
 
+// crowdOf estimates the requests ahead of one that has not been answered in time.
+func (t *Table) crowdOf(c *Choice, took clock.Millis) int {
+	slots := max(c.Server.Slots, 1)
+	return slots + slots*int(took)/max(int(t.times(c.query).all.value()), 1)
+}
+
 // correct moves a server's bias towards what a request has shown.
 func (r *record) correct(c *Choice, took clock.Millis) {
 	ratio := float64(took) / float64(max(c.raw, 1))
--- a/placement/server.go
+++ b/placement/server.go
@@ -34,6 +34,8 @@
 		// others is the load from other instances, by the server's last report.
 		others     int
 		reportedAt clock.Millis
+		// crowd is the usual load of servers like this one.
+		crowd *crowding
 
 		coldUntil clock.Millis
 		cold      bucket
@@ -88,8 +90,17 @@
 	maxServed = 512
 )
 
-// load estimates how many requests the server has, from all instances.
+// load estimates how many requests the server has, from all instances. Without a
+// recent report it has as many from others as servers like it.
 func (r *record) load(now clock.Millis) int {
+	if now-r.reportedAt >= reportAge {
+		return r.inFlight + int(r.crowd.at(now))
+	}
+	return r.inFlight + r.others
+}
+
+// known is the part of the load that is known and not guessed.
+func (r *record) known(now clock.Millis) int {
 	if now-r.reportedAt >= reportAge {
 		return r.inFlight
 	}
@@ -100,6 +111,7 @@
 func (r *record) report(now clock.Millis, load int) {
 	r.others = max(0, load-r.inFlight)
 	r.reportedAt = now
+	r.crowd.note(now, r.others)
 }
 
 // isFull reports whether the server is expected to decline another request.
@@ -107,13 +119,13 @@
 	if now < r.fullUntil {
 		return true
 	}
-	return r.ceiling > 0 && r.load(now) >= r.ceiling+int((now-r.ceilingAt)/ceilingStep)
+	return r.ceiling > 0 && r.known(now) >= r.ceiling+int((now-r.ceilingAt)/ceilingStep)
 }
 
 // decline notes that the server had no room for one more request.
 func (r *record) decline(now clock.Millis) {
 	r.fullUntil = now + declinedBackOff
-	r.ceiling = max(1, r.load(now))
+	r.ceiling = max(1, r.known(now))
 	r.ceilingAt = now
 }
 
--- a/placement/table.go
+++ b/placement/table.go
@@ -49,8 +49,10 @@
 		work      map[string]*workTimes
 		copies    map[string]*copies
 		detours   detours
-		distance  map[string]clock.Millis
-		started   bool
+		// crowds holds the crowding of each service and failure domain.
+		crowds   map[string]*crowding
+		distance map[string]clock.Millis
+		started  bool
 	}
 
 	// serviceServers are the servers of one service.
@@ -93,6 +95,7 @@
 		services: make(map[string]*serviceServers),
 		work:     make(map[string]*workTimes),
 		copies:   make(map[string]*copies),
+		crowds:   make(map[string]*crowding),
 		detours:  detours{share: config.MaxShift},
 		distance: make(map[string]clock.Millis),
 	}
@@ -144,6 +147,7 @@
 			since:      now,
 			reportedAt: now - reportAge,
 			served:     make(map[uint64]clock.Millis),
+			crowd:      t.crowd(info),
 		}
 		r.cold.updatedAt = now
 		r.coldUntil = now + info.ColdFor
