--- a/scenario/key_test.go
+++ b/scenario/key_test.go
@@ -63,6 +63,7 @@
 // faults. Five seconds after the acceptance no instance may run a request with
 // the key, over connections that are open or new.
 func TestWithdrawnKeyStops(t *testing.T) {
+	t.Parallel()
 	var pairs [][2]string
 	for first := range keyFaults {
 		for second := range keyFaults {
--- a/scenario/matrix_test.go
+++ b/scenario/matrix_test.go
@@ -103,6 +103,7 @@
 }
 
 func TestFaultMatrix(t *testing.T) {
+	t.Parallel()
 	for name, row := range faultMatrix {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/scenario/path_test.go
+++ b/scenario/path_test.go
@@ -11,6 +11,7 @@
 // TestWholePath serves a load on both deployments, stops an instance gracefully
 // under it and withdraws a key.
 func TestWholePath(t *testing.T) {
+	t.Parallel()
 	cases := map[string]struct {
 		deployment string
 		stopped    string
