Keep a placement table's services and cold limits in files of their own

Cause: placement/table.go had grown to 320 lines with three jobs. Ruled out: new packages, for all share one lock. Change: services.go (grouping by service and region), cold.go (limits of cold servers and their buckets); no behavior changes. Conclusion: easier to find.

--- a/placement/server.go
+++ b/placement/server.go
@@ -59,12 +59,6 @@
 
 		served map[uint64]clock.Millis
 	}
-
-	// bucket is a token bucket.
-	bucket struct {
-		tokens    float64
-		updatedAt clock.Millis
-	}
 )
 
 const (
@@ -176,19 +170,3 @@
 func (r *record) unwellShare(now clock.Millis) float64 {
 	return r.unwell * math.Exp(-float64(now-r.unwellAt)/float64(unwellFade))
 }
-
-// take takes one token of a bucket that fills at a rate up to one token.
-func (b *bucket) take(now clock.Millis, rate float64) bool {
-	b.tokens = min(1, b.tokens+rate*(now-b.updatedAt).Seconds())
-	b.updatedAt = now
-	if b.tokens < 1 {
-		return false
-	}
-	b.tokens--
-	return true
-}
-
-// has reports whether a token is there.
-func (b *bucket) has(now clock.Millis, rate float64) bool {
-	return b.tokens+rate*(now-b.updatedAt).Seconds() >= 1
-}
--- a/placement/table.go
+++ b/placement/table.go
@@ -55,18 +55,6 @@
 		started  bool
 	}
 
-	// serviceServers are the servers of one service.
-	serviceServers struct {
-		regions []*regionServers
-		plan    plan
-	}
-
-	regionServers struct {
-		name    string
-		hash    uint64
-		servers []*record
-	}
-
 	// Fleet says which instances share the servers' limits.
 	Fleet struct {
 		// Self is the name of this instance.
@@ -76,14 +64,6 @@
 	}
 )
 
-const (
-	// coldMargin is the part of a cold server's limit that is given out.
-	coldMargin = 0.7
-	// tokensPerOwner is the least allowance worth giving to an instance, in
-	// requests a second.
-	tokensPerOwner = 2.2
-)
-
 // NewTable returns an empty table.
 func NewTable(config TableConfig) *Table {
 	if config.Random == nil {
@@ -120,22 +100,6 @@
 	t.started = t.started || len(list) > 0
 }
 
-// regroup sorts the servers by service and region and makes the plans anew.
-func (t *Table) regroup() {
-	t.services = make(map[string]*serviceServers)
-	for _, r := range t.servers {
-		s, ok := t.services[r.info.Service]
-		if !ok {
-			s = &serviceServers{}
-			t.services[r.info.Service] = s
-		}
-		s.add(r)
-	}
-	for _, s := range t.services {
-		s.plan = newPlan(t.config.Region, t.config.Regions, s.capacity(t.evacuated))
-	}
-}
-
 // put adds a server or renews what is listed of it. A server that has started
 // again is a new one.
 func (t *Table) put(now clock.Millis, info Server) {
@@ -253,34 +217,6 @@
 	connectionPercent = 90
 )
 
-// coldRate returns how many requests a second this instance may send to a cold
-// server. A few instances share the server's limit, so that each one's part is
-// worth having; which ones follows from their names and the server's.
-func (t *Table) coldRate(r *record) float64 {
-	limit := t.limits[r.info.Service].ColdPerS
-	if limit <= 0 {
-		return 0
-	}
-	allowed := (limit*t.config.ColdOverage + t.config.ColdSlack) * coldMargin
-	owners := min(len(t.members)+1, max(1, int(allowed/tokensPerOwner)))
-	if t.rank(r) >= owners {
-		return 0
-	}
-	return max(0, allowed/float64(owners)-1)
-}
-
-// rank counts the instances that come before this one for a server.
-func (t *Table) rank(r *record) int {
-	own := mix(t.self, r.hash)
-	rank := 0
-	for _, member := range t.members {
-		if mix(member, r.hash) > own {
-			rank++
-		}
-	}
-	return rank
-}
-
 // mix hashes two hashes together.
 func mix(a, b uint64) uint64 {
 	x := a ^ (b * 0x9e3779b97f4a7c15)
@@ -291,30 +227,3 @@
 	x ^= x >> 32
 	return x
 }
-
-func (s *serviceServers) add(r *record) {
-	for _, region := range s.regions {
-		if region.name == r.info.Region {
-			region.servers = append(region.servers, r)
-			return
-		}
-	}
-	s.regions = append(s.regions, &regionServers{
-		name:    r.info.Region,
-		hash:    xxhash.Sum64String(r.info.Region),
-		servers: []*record{r},
-	})
-}
-
-// capacity returns the slots of each region that take requests.
-func (s *serviceServers) capacity(evacuated values.Set[string]) map[string]float64 {
-	slots := make(map[string]float64, len(s.regions))
-	for _, region := range s.regions {
-		for _, r := range region.servers {
-			if !r.info.Draining && !evacuated.Has(r.info.FailureDomain) {
-				slots[region.name] += float64(r.info.Slots)
-			}
-		}
-	}
-	return slots
-}
