Forget instances that have been silent for ten minutes

Cause: what an instance knows of others was never dropped. Where instances are replaced by ones with new names it grows for good, and with it the time after which a silent one counts as gone (0.25 s for each doubling). Ruled out: the 60 s after which an instance no longer counts in the majority: after a long cut the two sides still need each other's addresses. Change: when a new name is heard, entries that were silent for ten minutes go. A method and a constant no longer share the name aliveFor.

--- a/fleet/members.go
+++ b/fleet/members.go
@@ -51,6 +51,9 @@
 	sharesMargin = clock.Second
 	// rememberedFor is how long a silent instance counts in the majority.
 	rememberedFor = 60 * clock.Second
+	// forgottenAfter is how long an instance is silent until nothing is kept of
+	// it; one that comes back is heard of like a new one.
+	forgottenAfter = 10 * 60 * clock.Second
 )
 
 // NewMembers returns the members known to a fresh process: itself. Term is how
@@ -124,10 +127,23 @@
 	if ok && at <= old.heardAt {
 		return false
 	}
+	if !ok {
+		m.forget(at)
+	}
 	m.others[info.GetInstance()] = &member{info: info, state: state, heardAt: at}
 	return ok && old.info.GetIncarnation() != info.GetIncarnation()
 }
 
+// forget drops the instances that have been silent for very long, such as those
+// that were replaced by others with new names. The caller holds the lock.
+func (m *Members) forget(now clock.Millis) {
+	for name, other := range m.others {
+		if now-other.heardAt >= forgottenAfter {
+			delete(m.others, name)
+		}
+	}
+}
+
 // HeardStates takes in how long ago a peer heard of instances in some states,
 // counted from when it was asked. It returns the states whose entries are not
 // known, and the peer addresses of the instances that have started again.
@@ -170,11 +186,11 @@
 
 // Alive returns the other instances that run.
 func (m *Members) Alive(now clock.Millis) []*wire.FleetInstance {
-	return m.within(now, m.aliveFor())
+	return m.within(now, m.aliveSpan())
 }
 
-// aliveFor returns how long a silent instance of this fleet counts as running.
-func (m *Members) aliveFor() clock.Millis {
+// aliveSpan returns how long a silent instance of this fleet counts as running.
+func (m *Members) aliveSpan() clock.Millis {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return aliveIn(len(m.others) + 1)
@@ -202,7 +218,7 @@
 	return names
 }
 
-// Known returns all other instances that were ever heard of.
+// Known returns all other instances of which something is kept.
 func (m *Members) Known() []*wire.FleetInstance {
 	return m.within(0, -1)
 }
