--- a/backend/backend_test.go
+++ b/backend/backend_test.go
@@ -164,6 +164,9 @@
 	if n := servers[0].GetInFlight() + servers[1].GetInFlight(); n != 1 {
 		t.Errorf("%d units are taken just after the deadline, want 1", n)
 	}
+	if servers[0].GetExcluded() == "" && servers[1].GetExcluded() == "" {
+		t.Error("the silent server gets the next request at once")
+	}
 	for range 3 {
 		call(pool, true, 50)
 	}
--- a/backend/call.go
+++ b/backend/call.go
@@ -178,10 +178,12 @@
 
 // timedOut keeps the unit taken until the request's own deadline has passed,
 // for the server may still be running it behind a silent connection. The idle
-// connections that have not worked since the exchange began may be silent too.
+// connections that have not worked since the exchange began may be silent too, and
+// the server is left alone for a while.
 func (p *Pool) timedOut(s *server, call *Call, started, now clock.Millis) {
 	p.mu.Lock()
 	s.latency.add(now - started)
+	s.fail(now)
 	s.closeIdleBefore(started)
 	p.mu.Unlock()
 	hold := max(call.Deadline-now, 0) + cancelMargin
