Keep one piece each for idle connections, fading and moving averages

Two pools closed unwanted idle connections each in their own loop; five places moved an average, three in placement and two in quota and share let a value fade; the list of servers was indexed twice at each change; the stand-in ended connections in two ways. Change: socket.KeepIdle, clock.Fade and placement's blend and share serve all of them; Knowledge indexes the listed servers once; cutOff in the stand-in; two accept loops of tests become one each. No bound or assertion changes. Conclusion: nothing behaves otherwise.

--- a/backend/call.go
+++ b/backend/call.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/bulrushferry/bulrushferry/clock"
+	"github.com/bulrushferry/bulrushferry/socket"
 	"github.com/bulrushferry/bulrushferry/values"
 	"github.com/bulrushferry/bulrushferry/wire"
 	"github.com/joomcode/errorx"
@@ -184,7 +185,7 @@
 	p.mu.Lock()
 	s.latency.add(now - started)
 	s.fail(now)
-	s.closeIdleBefore(started)
+	s.keepIdle(func(c *conn) bool { return c.usedAt >= started })
 	p.mu.Unlock()
 	hold := max(call.Deadline-now, 0) + cancelMargin
 	time.AfterFunc(hold.Duration(), func() { p.release(s) })
@@ -274,24 +275,13 @@
 	}
 }
 
-// closeIdleBefore closes the idle connections that were last used before a time.
-func (s *server) closeIdleBefore(usedBefore clock.Millis) {
-	kept := s.idle[:0]
-	for _, c := range s.idle {
-		if c.usedAt >= usedBefore {
-			kept = append(kept, c)
-			continue
-		}
-		_ = c.Close()
-		s.open--
-	}
+// keepIdle closes the idle connections that are not wanted.
+func (s *server) keepIdle(wanted func(*conn) bool) {
+	kept, closed := socket.KeepIdle(s.idle, wanted)
 	s.idle = kept
+	s.open -= closed
 }
 
 func (s *server) closeIdle() {
-	for _, c := range s.idle {
-		_ = c.Close()
-		s.open--
-	}
-	s.idle = nil
+	s.keepIdle(func(*conn) bool { return false })
 }
--- a/emulator/result.go
+++ b/emulator/result.go
@@ -77,7 +77,7 @@
 }
 
 // fail notes a request that was not served.
-func (r *Result) fail(*request) {
+func (r *Result) fail() {
 	r.Unserved++
 }
 
--- a/emulator/run.go
+++ b/emulator/run.go
@@ -125,7 +125,7 @@
 	now := w.events.now
 	left := r.sentAt + r.kind.Deadline - now
 	if left <= 0 {
-		w.result.fail(r)
+		w.result.fail()
 		return
 	}
 	q := w.query(r, left)
@@ -177,7 +177,7 @@
 func (w *world) refuse(r *request, after clock.Millis) {
 	w.result.Refusals++
 	if r.again {
-		w.result.fail(r)
+		w.result.fail()
 		return
 	}
 	r.again, r.offers, r.tried = true, 0, values.NewSet[string]()
--- a/fleet/neighbors.go
+++ b/fleet/neighbors.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 
@@ -22,12 +23,7 @@
 	for _, member := range list {
 		ring = append(ring, place{xxhash.Sum64String(member.GetInstance()) - origin, member})
 	}
-	slices.SortFunc(ring, func(a, b place) int {
-		if a.distance < b.distance {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(ring, func(a, b place) int { return cmp.Compare(a.distance, b.distance) })
 	var out []*wire.FleetInstance
 	for step := 1; step <= len(ring); step *= 2 {
 		out = append(out, ring[step-1].member)
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -29,20 +29,26 @@
 
 // serveScript runs a server until the test ends and returns its address.
 func serveScript(t *testing.T, answer script) placement.Server {
+	t.Helper()
+	count := 0
+	return acceptAll(t, func(c net.Conn) { serveConn(c, answer, &count) })
+}
+
+// acceptAll hands the connections to a server to a function until the test ends.
+func acceptAll(t *testing.T, accepted func(net.Conn)) placement.Server {
 	t.Helper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = listener.Close() })
-	count := 0
 	go func() {
 		for {
 			c, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			serveConn(c, answer, &count)
+			accepted(c)
 		}
 	}()
 	return placement.Server{ID: "s", Service: "desk", Region: "a", Address: listener.Addr().String()}
@@ -273,21 +279,8 @@
 // silencedServer answers a request on each connection only until silence falls
 // on those that are open; later ones work.
 type silencedServer struct {
-	silence  atomic.Bool
-	arrived  sync.WaitGroup
-	together int
-}
-
-func (s *silencedServer) run(t *testing.T, listener net.Listener) {
-	t.Helper()
-	s.arrived.Add(s.together)
-	for {
-		c, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		go s.serve(c, s.silence.Load())
-	}
+	silence atomic.Bool
+	arrived sync.WaitGroup
 }
 
 // serve answers the first requests together, so that each has a connection.
@@ -314,16 +307,11 @@
 // while new ones work. Only the first request after that may get no answer.
 func TestSilenceCostsOneRequest(t *testing.T) {
 	const kept = 6
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	silenced := &silencedServer{together: kept}
-	go silenced.run(t, listener)
+	silenced := &silencedServer{}
+	silenced.arrived.Add(kept)
+	server := acceptAll(t, func(c net.Conn) { go silenced.serve(c, silenced.silence.Load()) })
 	pool := newTestPool()
 	pool.config.MaxConnections = func(string) int { return kept }
-	server := placement.Server{ID: "s", Service: "desk", Region: "a", Address: listener.Addr().String()}
 	do := func() error {
 		var response fasthttp.Response
 		_, err := pool.Do(context.Background(), server, true, testRequest("1"), &response)
--- a/origin/pool.go
+++ b/origin/pool.go
@@ -237,16 +237,7 @@
 // keep closes the idle connections that are not wanted and returns their number.
 // The caller holds the pool's lock.
 func (h *host) keep(wanted func(*conn) bool) int {
-	kept := h.idle[:0]
-	for _, c := range h.idle {
-		if wanted(c) {
-			kept = append(kept, c)
-			continue
-		}
-		_ = c.Close()
-	}
-	closed := len(h.idle) - len(kept)
-	clear(h.idle[len(kept):])
+	kept, closed := socket.KeepIdle(h.idle, wanted)
 	h.idle = kept
 	h.open -= closed
 	return closed
--- a/placement/copies.go
+++ b/placement/copies.go
@@ -32,11 +32,7 @@
 
 // note takes in whether an object that was known to be warm was not.
 func (c *copies) note(missed bool) {
-	target := 0.0
-	if missed {
-		target = 1
-	}
-	c.misses += (target - c.misses) * missWeight
+	c.misses = blend(c.misses, share(missed), missWeight)
 }
 
 // adjust changes the number of copies by one at most, at long intervals.
--- a/placement/crowding.go
+++ b/placement/crowding.go
@@ -1,10 +1,6 @@
 package placement
 
-import (
-	"math"
-
-	"github.com/bulrushferry/bulrushferry/clock"
-)
+import "github.com/bulrushferry/bulrushferry/clock"
 
 // crowding is the usual load that servers of one service in one failure domain
 // have from other instances. In a large fleet an instance hears of each server
@@ -24,14 +20,13 @@
 
 // note takes in a server's load from other instances.
 func (c *crowding) note(now clock.Millis, others int) {
-	usual := c.at(now)
-	c.others = usual + (float64(others)-usual)*crowdingWeight
+	c.others = blend(c.at(now), float64(others), crowdingWeight)
 	c.updatedAt = now
 }
 
 // at returns the usual load at a time, in requests.
 func (c *crowding) at(now clock.Millis) float64 {
-	return c.others * math.Exp(-float64(now-c.updatedAt)/float64(crowdingFade))
+	return c.others * clock.Fade(now-c.updatedAt, crowdingFade)
 }
 
 // crowd returns the crowding of a server's service and failure domain. The
--- a/placement/detours.go
+++ b/placement/detours.go
@@ -1,8 +1,6 @@
 package placement
 
 import (
-	"math"
-
 	"github.com/bulrushferry/bulrushferry/clock"
 	"github.com/bulrushferry/bulrushferry/values"
 )
@@ -54,16 +52,12 @@
 // note counts a placed request.
 func (d *detours) note(now clock.Millis, moved bool) {
 	d.advance(now)
-	target := 0.0
-	if moved {
-		target = 1
-	}
-	d.present += (target - d.present) * detourWeight
+	d.present = blend(d.present, share(moved), detourWeight)
 }
 
 // advance lets time pass.
 func (d *detours) advance(now clock.Millis) {
-	d.usual += (d.present - d.usual) * (1 - math.Exp(-float64(now-d.seenAt)/float64(detourFade)))
+	d.usual = blend(d.usual, d.present, 1-clock.Fade(now-d.seenAt, detourFade))
 	d.seenAt = now
 }
 
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -137,8 +137,7 @@
 // correct moves a server's bias towards what a request has shown.
 func (r *record) correct(c *Choice, took clock.Millis) {
 	ratio := float64(took) / float64(max(c.raw, 1))
-	r.bias += (ratio - r.bias) * biasWeight
-	r.bias = min(max(r.bias, minBias), maxBias)
+	r.bias = min(max(blend(r.bias, ratio, biasWeight), minBias), maxBias)
 }
 
 // SetDistance takes in the time of a round trip to a region.
@@ -158,7 +157,7 @@
 
 func (a *average) add(span clock.Millis) {
 	a.samples++
-	a.ms += (float64(span) - a.ms) * averageWeight
+	a.ms = blend(a.ms, float64(span), averageWeight)
 }
 
 func (a *average) known() bool {
--- a/placement/server.go
+++ b/placement/server.go
@@ -3,11 +3,7 @@
 // earlier requests. It does no input or output and reads no clock.
 package placement
 
-import (
-	"math"
-
-	"github.com/bulrushferry/bulrushferry/clock"
-)
+import "github.com/bulrushferry/bulrushferry/clock"
 
 type (
 	// Server is what the platform lists of a backend server.
@@ -160,13 +156,12 @@
 
 // noteHealth moves the share of failed requests towards what was seen.
 func (r *record) noteHealth(now clock.Millis, seen, weight float64) {
-	health := r.unwellShare(now)
-	r.unwell = health + (seen-health)*weight
+	r.unwell = blend(r.unwellShare(now), seen, weight)
 	r.unwellAt = now
 }
 
 // unwellShare is the share of recent requests that failed. It fades, so that a
 // server that was left alone is tried again.
 func (r *record) unwellShare(now clock.Millis) float64 {
-	return r.unwell * math.Exp(-float64(now-r.unwellAt)/float64(unwellFade))
+	return r.unwell * clock.Fade(now-r.unwellAt, unwellFade)
 }
--- a/quota/purse.go
+++ b/quota/purse.go
@@ -1,10 +1,6 @@
 package quota
 
-import (
-	"math"
-
-	"github.com/bulrushferry/bulrushferry/clock"
-)
+import "github.com/bulrushferry/bulrushferry/clock"
 
 // Purse is the tokens of one workspace that an instance has fetched, and its
 // demand. It is not safe for concurrent use.
@@ -97,6 +93,6 @@
 	if now <= p.updatedAt {
 		return
 	}
-	p.demand *= math.Exp(-float64(now-p.updatedAt) / float64(demandWindow))
+	p.demand *= clock.Fade(now-p.updatedAt, demandWindow)
 	p.updatedAt = now
 }
--- a/share/demand.go
+++ b/share/demand.go
@@ -1,10 +1,6 @@
 package share
 
-import (
-	"math"
-
-	"github.com/bulrushferry/bulrushferry/clock"
-)
+import "github.com/bulrushferry/bulrushferry/clock"
 
 // demand estimates the rate of arriving requests with an exponential window.
 type demand struct {
@@ -30,7 +26,6 @@
 	if now <= d.updatedAt {
 		return
 	}
-	span := float64(now-d.updatedAt) / float64(demandWindow)
-	d.level *= math.Exp(-span)
+	d.level *= clock.Fade(now-d.updatedAt, demandWindow)
 	d.updatedAt = now
 }
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -44,15 +44,7 @@
 		_ = listener.Close()
 		p.set(refusing)
 	})
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go p.serve(c)
-		}
-	}()
+	go acceptAll(listener, p.serve)
 	return p, listener.Addr().String()
 }
 
@@ -121,3 +113,14 @@
 		}
 	}
 }
+
+// acceptAll serves the connections of a listener until it is closed.
+func acceptAll(listener net.Listener, serve func(net.Conn)) {
+	for {
+		c, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go serve(c)
+	}
+}
--- a/soak/server_test.go
+++ b/soak/server_test.go
@@ -76,15 +76,7 @@
 	b.mu.Lock()
 	b.listener = listener
 	b.mu.Unlock()
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go b.serve(c)
-		}
-	}()
+	go acceptAll(listener, b.serve)
 }
 
 // restart crashes the server and has it back at its address after a while.
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"net"
 	"strconv"
 	"sync"
@@ -175,7 +176,7 @@
 	defer s.end()
 	s.world.log.run(s, &ctx.Request, time.Since(s.world.started))
 	if !s.work(ctx) {
-		closeUnanswered(ctx)
+		cutOff(ctx, "")
 		return
 	}
 	s.respond(ctx)
@@ -216,9 +217,13 @@
 	return time.After(time.Duration(left)*time.Millisecond + noticeTime)
 }
 
-func closeUnanswered(ctx *fasthttp.RequestCtx) {
+// cutOff ends a request's connection after some bytes that are no whole answer.
+func cutOff(ctx *fasthttp.RequestCtx, sent string) {
 	ctx.HijackSetNoResponse(true)
-	ctx.Hijack(func(c net.Conn) { _ = c.Close() })
+	ctx.Hijack(func(c net.Conn) {
+		_, _ = io.WriteString(c, sent)
+		_ = c.Close()
+	})
 }
 
 func (s *backendServer) respond(ctx *fasthttp.RequestCtx) {
@@ -234,11 +239,7 @@
 		ctx.SetBodyString(body)
 		return
 	}
-	ctx.HijackSetNoResponse(true)
-	ctx.Hijack(func(c net.Conn) {
-		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body)+100, body)
-		_ = c.Close()
-	})
+	cutOff(ctx, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body)+100, body))
 }
 
 func (s *backendServer) mangles() (cut, cross bool) {
--- a/steering/knowledge.go
+++ b/steering/knowledge.go
@@ -193,16 +193,17 @@
 	k.noteUnread(unread)
 	now := k.config.Boot.Now()
 	k.noteAge()
-	k.holdLapsed(now, list)
-	k.put(now, list)
-}
-
-// put hands the listed and the held servers to placement. The caller holds the lock.
-func (k *Knowledge) put(now clock.Millis, list []placement.Server) {
-	current := make(map[string]placement.Server, len(list))
+	listed := make(map[string]placement.Server, len(list))
 	for _, server := range list {
-		current[server.ID] = server
+		listed[server.ID] = server
 	}
+	k.holdLapsed(now, listed)
+	k.put(now, list, listed)
+}
+
+// put hands the listed and the held servers to placement. Current holds the listed
+// ones by their ids and becomes what is known. The caller holds the lock.
+func (k *Knowledge) put(now clock.Millis, list []placement.Server, current map[string]placement.Server) {
 	for id, until := range k.heldUntil {
 		_, listed := current[id]
 		if listed || now >= until {
@@ -250,14 +251,10 @@
 
 // holdLapsed keeps servers whose entries went during an outage. The caller
 // holds the lock.
-func (k *Knowledge) holdLapsed(now clock.Millis, list []placement.Server) {
+func (k *Knowledge) holdLapsed(now clock.Millis, listed map[string]placement.Server) {
 	if now >= k.outages.graceUntil {
 		return
 	}
-	listed := make(map[string]struct{}, len(list))
-	for _, server := range list {
-		listed[server.ID] = struct{}{}
-	}
 	until := k.outages.graceUntil
 	for id, server := range k.known {
 		if _, ok := listed[id]; ok || server.Draining {
