Keep the entry of an action that runs here when a list comes back

Cause: an instance that stops tells its peers of every action it knows, also of those that came with an earlier hand-over. If two instances hand over to each other while one of them runs an action, the action comes back and replaced the running entry; its end then closed a closed channel and the process ended. Ruled out: that the list names only own actions (HandOver returns all entries). Before: TestHandoverKeepsRunningAction panics with "close of closed channel". After: it passes; waiting attempts are woken and get the response. Conclusion: an entry that did not come with a hand-over is never replaced.

--- a/once/table.go
+++ b/once/table.go
@@ -201,7 +201,8 @@
 
 // AcceptHandover records the complete list of the actions that a stopped incarnation
 // ran, and the time by its clock. An action under its prefix that is not listed was
-// never run.
+// never run. A listed action that this incarnation runs or ran itself came from an
+// earlier handover and keeps its entry here.
 func (t *Table) AcceptHandover(now clock.Millis, incarnation string, senderNow clock.Millis, actions []*wire.FinishedAction) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -212,6 +213,9 @@
 			Workspace:   action.GetWorkspace(),
 			Fingerprint: action.GetFingerprint(),
 		}
+		if known, ok := t.actions[actionKey(request)]; ok && !known.fromHandover {
+			continue
+		}
 		done := make(chan struct{})
 		close(done)
 		t.actions[actionKey(request)] = &entry{
--- a/once/table_test.go
+++ b/once/table_test.go
@@ -154,6 +154,34 @@
 	}
 }
 
+// TestHandoverKeepsRunningAction has two incarnations hand over to each other while one
+// of them runs an action. The list that comes back must not replace the running action:
+// its end would panic, and its response would be lost.
+func TestHandoverKeepsRunningAction(t *testing.T) {
+	const now = clock.Millis(1)
+	config := TableConfig{Incarnation: "a-1", MaxActions: 10, MaxResponseBytes: 100}
+	runner := NewTable(config)
+	config.Incarnation = "b-1"
+	heir := NewTable(config)
+	request := Request{Action: ActionPrefix("a-1", EpochAt(now)) + "x", Workspace: "w", Fingerprint: []byte("f")}
+	began := runner.Begin(now, request)
+	if began.Decision != Run {
+		t.Fatalf("decision %d, want Run", began.Decision)
+	}
+	heir.AcceptHandover(now, "a-1", now, runner.HandOver())
+	runner.AcceptHandover(now, "b-1", now, heir.HandOver())
+	runner.End(request, &wire.FinishedAction{Action: request.Action, Workspace: "w", Fingerprint: []byte("f"), Outcome: wire.Outcome_OUTCOME_DONE})
+	again := runner.Begin(now, request)
+	if again.Decision != Replay || again.Finished.GetOutcome() != wire.Outcome_OUTCOME_DONE {
+		t.Errorf("got decision %d and outcome %v, want a replay of the finished action", again.Decision, again.Finished.GetOutcome())
+	}
+	select {
+	case <-began.Done:
+	default:
+		t.Error("attempts that wait for the action were not woken")
+	}
+}
+
 func TestParseActionName(t *testing.T) {
 	cases := map[string]bool{
 		ActionPrefix("sierra-1-abc", 12) + "x": true,
