Start a replica's log anew at a full table

Cause: a full table that is taken by a replica which knows the table already did not raise the version from which its log is complete. A peer between the two versions got a delta without the removals of that time and kept removed rows: a server that had left was in use again there. Ruled out: that the removals added by removalsFor are enough (a row that came and went between the two versions was never known here).

--- a/fleet/replica.go
+++ b/fleet/replica.go
@@ -97,7 +97,8 @@
 		return false, true
 	}
 	changed = !r.known
-	if !r.known {
+	if delta.GetFull() {
+		// A full table does not tell which rows were removed on the way.
 		r.logFloor = delta.GetVersion()
 	}
 	rows := delta.GetRows()
--- a/fleet/replica_test.go
+++ b/fleet/replica_test.go
@@ -74,6 +74,20 @@
 	}
 }
 
+// TestDeltaAfterFullTable checks that a peer learns of a removal that happened on the way
+// to a version that was taken in as a full table.
+func TestDeltaAfterFullTable(t *testing.T) {
+	r := NewReplica("t", func() {})
+	r.Apply(&wire.TableDelta{Version: 1, Full: true}, 0)
+	r.Apply(&wire.TableDelta{Version: 3, Full: true}, 0)
+	peer := NewReplica("t", func() {})
+	peer.Apply(&wire.TableDelta{Version: 2, Full: true, Rows: []*wire.TableRow{row("a", 2)}}, 0)
+	peer.Apply(r.DeltaSince(peer.Version(), 0), 0)
+	if rows := peer.Rows(); len(rows) > 0 || peer.Version() != 3 {
+		t.Errorf("holds %v at version %d, want nothing at version 3", rows, peer.Version())
+	}
+}
+
 // TestReplicasAgree lets replicas learn the changes of a table from the platform and
 // from each other in any order. A replica at a version must hold exactly the rows of
 // that version.
