Let running requests go on when a shutdown begins, and infinite links be free

Cause of the first: the context of a request was fasthttp's, which ends as soon as the server's shutdown begins, so a request passed to a peer or waiting for a slot ended as unknown or not run at that moment. It now ends at the request's own deadline. TestWholePath is what showed it. Cause of the second: a link without a bandwidth rule has an infinite rate; infinity times a time of zero is no number, and the link counted as full. Before: TestLinkLimiterWithoutRule finds the link full. After: it passes. Ruled out for the first: that Shutdown stops waiting earlier; it waits for open connections until the stop timeout as before.

--- a/caller/link_limiter.go
+++ b/caller/link_limiter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -56,23 +57,23 @@
 
 // HasCapacity reports whether a message may be sent to a region without waiting.
 func (l *LinkLimiter) HasCapacity(to string) bool {
-	if to == l.config.Region || to == "" {
+	rate, limited := l.limit(to)
+	if !limited {
 		return true
 	}
-	rate := l.rate(to)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.refill(to, rate).tokens > 0
 }
 
 // Wait takes the tokens for a message to a region and blocks until it may be sent.
-// Messages to this instance's own region, or to an unnamed one, are not limited. If the
-// context ends first, Wait returns an error and the message must not be sent.
+// If the context ends first, Wait returns an error and the message must not be sent.
 func (l *LinkLimiter) Wait(ctx context.Context, to string, bytes int) error {
-	if to == l.config.Region || to == "" {
+	rate, limited := l.limit(to)
+	if !limited {
 		return nil
 	}
-	wait := l.reserve(to, bytes)
+	wait := l.reserve(to, rate, bytes)
 	if wait <= 0 {
 		return nil
 	}
@@ -89,8 +90,7 @@
 
 // reserve takes the tokens for a message and returns how long to wait before it may be
 // sent.
-func (l *LinkLimiter) reserve(to string, bytes int) time.Duration {
-	rate := l.rate(to)
+func (l *LinkLimiter) reserve(to string, rate float64, bytes int) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	bucket := l.refill(to, rate)
@@ -109,9 +109,15 @@
 	l.buckets[to].tokens += float64(bytes * bitsPerByte)
 }
 
-// rate returns the rate limit to a region in bits per second.
-func (l *LinkLimiter) rate(to string) float64 {
-	return l.config.BitsPerS(to) * (1 - reservedShare)
+// limit returns the rate limit to a region in bits per second, and whether there is one.
+// Messages to this instance's own region, or to an unnamed one, are not limited, nor is
+// a link without a bandwidth rule, whose rate is infinite.
+func (l *LinkLimiter) limit(to string) (rate float64, limited bool) {
+	if to == l.config.Region || to == "" {
+		return 0, false
+	}
+	rate = l.config.BitsPerS(to) * (1 - reservedShare)
+	return rate, !math.IsInf(rate, 1)
 }
 
 // refill returns the bucket of a region with the tokens earned since its last update.
--- a/caller/link_limiter_test.go
+++ b/caller/link_limiter_test.go
@@ -1,6 +1,8 @@
 package caller
 
 import (
+	"context"
+	"math"
 	"testing"
 
 	"github.com/bulrushferry/bulrushferry/clock"
@@ -20,7 +22,7 @@
 		for range rapid.IntRange(1, 100).Draw(t, "messages") {
 			now.Advance(clock.Millis(rapid.IntRange(0, 50).Draw(t, "gap")))
 			bytes := rapid.IntRange(1, 50_000).Draw(t, "bytes")
-			now.Advance(clock.FromDuration(limiter.reserve("b", bytes)) + 1)
+			now.Advance(clock.FromDuration(limiter.reserve("b", rate*(1-reservedShare), bytes)) + 1)
 			largest = max(largest, float64(bytes*bitsPerByte))
 			sent += float64(bytes * bitsPerByte)
 			if bound := rate*(now.Now()-started).Seconds() + rate*linkBurstSeconds + largest; sent > bound {
@@ -30,6 +32,19 @@
 	})
 }
 
+// TestLinkLimiterWithoutRule checks that a link without a bandwidth rule, whose rate is
+// infinite, never counts as full.
+func TestLinkLimiterWithoutRule(t *testing.T) {
+	now := &clock.Manual{}
+	limiter := NewLinkLimiter(LinkLimiterConfig{Clock: now, Region: "a", BitsPerS: func(string) float64 { return math.Inf(1) }})
+	for range 3 {
+		if err := limiter.Wait(context.Background(), "b", 1<<20); err != nil || !limiter.HasCapacity("b") {
+			t.Fatalf("a link without a rule is full: %v", err)
+		}
+		now.Advance(10)
+	}
+}
+
 func TestLinkLimiterIgnoresOwnRegion(t *testing.T) {
 	limiter := NewLinkLimiter(LinkLimiterConfig{Clock: &clock.Manual{}, Region: "a", BitsPerS: func(string) float64 { return 0 }})
 	if !limiter.HasCapacity("a") || limiter.HasCapacity("b") {
--- a/caller/server.go
+++ b/caller/server.go
@@ -101,8 +101,7 @@
 }
 
 // Shutdown closes the listeners and idle connections, and waits until the other
-// connections have ended or the context ends. It cancels the contexts of running
-// requests.
+// connections have ended or the context ends. Running requests go on meanwhile.
 func (s *Server) Shutdown(ctx context.Context) error {
 	return s.http.ShutdownWithContext(ctx)
 }
@@ -174,7 +173,7 @@
 	id := s.newRequestID()
 	job, result, ok := s.validate(ctx, id, started)
 	if ok {
-		result = s.config.Executor.Execute(ctx, job)
+		result = s.execute(job, started)
 		fasthttp.ReleaseRequest(job.Request)
 		s.recordMetrics(job, result, s.config.Clock.Now()-started)
 	} else if _, keys := idempotencyKey(&ctx.Request); keys > 0 {
@@ -184,6 +183,14 @@
 	s.writeResult(ctx, id, result)
 }
 
+// execute runs a job. Its context ends at the job's deadline. It does not derive from
+// fasthttp's, which ends as soon as a shutdown begins.
+func (s *Server) execute(job Job, now clock.Millis) Result {
+	ctx, cancel := context.WithTimeout(context.Background(), (job.Deadline - now).Duration())
+	defer cancel()
+	return s.config.Executor.Execute(ctx, job)
+}
+
 // validate converts a caller's request to a job. If the request is invalid, it returns
 // the refusal and false.
 func (s *Server) validate(ctx *fasthttp.RequestCtx, id string, now clock.Millis) (Job, Result, bool) {
