Read rows of other writers one by one

Ruled out: deep nesting (the parser refuses it beyond 10,000 levels) and numbers of 400 digits inside a value: these rows were already left out. The majority of the fleet is worked out only when the copies are old, not for each request. Conclusion: another writer's row cannot stop the list or the process.

--- a/steering/adapter.go
+++ b/steering/adapter.go
@@ -68,15 +68,32 @@
 
 	// Store accesses the platform's store.
 	Store interface {
-		// Follow keeps a replica up to date until the context ends. It reads the
-		// store only while shouldPoll returns true.
-		Follow(ctx context.Context, replica *fleet.Replica, shouldPoll func() bool)
+		// Follow keeps a replica up to date until the context ends.
+		Follow(ctx context.Context, f Following)
 		// Register stores this instance's entry.
 		Register(ctx context.Context, info *wire.FleetInstance) error
 		// Deregister removes this instance's entry.
 		Deregister(ctx context.Context, info *wire.FleetInstance) error
-		// Instances returns the entries of all registered instances.
-		Instances(ctx context.Context) ([]*wire.FleetInstance, error)
+		// Instances returns the entries of all registered instances, and the rows
+		// that hold none.
+		Instances(ctx context.Context) ([]*wire.FleetInstance, []InvalidRow, error)
+	}
+
+	// Following tells how a Store keeps a replica up to date.
+	Following struct {
+		Replica *fleet.Replica
+		// ShouldPoll reports whether the store is to be read now.
+		ShouldPoll func() bool
+		// OnInvalid is called with each row that is not in the store's format.
+		OnInvalid func(InvalidRow)
+	}
+
+	// InvalidRow is a row of the platform's tables that cannot be used. Other writers
+	// may have written it.
+	InvalidRow struct {
+		Key string
+		// Problem names the field that is wrong.
+		Problem string
 	}
 
 	// Endpoints provides the HTTP handlers for callers' lookups and for the platform's
--- a/steering/control_state.go
+++ b/steering/control_state.go
@@ -18,13 +18,21 @@
 type (
 	// Decoder decodes rows of the platform's tables.
 	Decoder interface {
-		// Config returns the configuration, or nil if there is none, and the
-		// evacuated failure domains. The domains are valid even if the
+		// Config returns the rules. The evacuated domains are valid even if the
 		// configuration cannot be decoded and an error is returned.
-		Config(rows []*wire.TableRow) (*routing.Config, values.Set[string], error)
-		// Servers returns the backend servers and the keys of the rows that
-		// describe no usable backend server.
-		Servers(rows []*wire.TableRow) ([]placement.Server, []string)
+		Config(rows []*wire.TableRow) (Rules, error)
+		// Servers returns the backend servers and the rows that describe no usable
+		// backend server.
+		Servers(rows []*wire.TableRow) ([]placement.Server, []InvalidRow)
+	}
+
+	// Rules are the decoded rows of the rules table.
+	Rules struct {
+		// Config is the configuration, or nil if there is none.
+		Config *routing.Config
+		// Evacuated are the failure domains that get no requests.
+		Evacuated values.Set[string]
+		Invalid   []InvalidRow
 	}
 
 	// ControlStateConfig configures a ControlState.
@@ -63,10 +71,11 @@
 
 		// mu guards the fields below and serializes updates.
 		mu sync.Mutex
-		// invalidRows are the keys of the rows that describe no usable backend
-		// server.
-		invalidRows values.Set[string]
-		outage      outageDetector
+		// invalidRules and invalidServers are the rows of the two tables that cannot
+		// be used.
+		invalidRules   invalidRows
+		invalidServers invalidRows
+		outage         outageDetector
 		// inUse holds the backend servers in use by their IDs.
 		inUse map[string]placement.Server
 		// retainedUntil holds, for each server that is in use although it is no
@@ -98,7 +107,6 @@
 func NewControlState(config ControlStateConfig) *ControlState {
 	s := &ControlState{
 		config:        config,
-		invalidRows:   values.NewSet[string](),
 		inUse:         make(map[string]placement.Server),
 		retainedUntil: make(map[string]clock.Millis),
 		onRulesChange: func() {},
@@ -155,15 +163,20 @@
 	now := s.config.BootClock.Now()
 	rules, _ := s.Rules.AsOf()
 	servers, known := s.Servers.AsOf()
-	fresh := now-min(rules, servers) < s.config.AuthorityTerm()
-	agreed := max(s.Rules.Lag(), s.Servers.Lag()) < s.config.AuthorityTerm() && s.config.Members.InMajority(now)
-	authority := known && (fresh || agreed)
+	term := s.config.AuthorityTerm()
+	authority := known && (now-min(rules, servers) < term || s.agreesWithFleet(now, term))
 	if s.authorityLost.CompareAndSwap(authority, !authority) {
 		s.config.Log.Warn("authority changed", "acts", authority, "rules_age_ms", int64(now-rules), "servers_age_ms", int64(now-servers))
 	}
 	return authority
 }
 
+// agreesWithFleet reports whether this instance is in contact with at least half of the
+// fleet and no peer's copy is newer by the term or more.
+func (s *ControlState) agreesWithFleet(now, term clock.Millis) bool {
+	return max(s.Rules.Lag(), s.Servers.Lag()) < term && s.config.Members.InMajority(now)
+}
+
 // MarkJoined records that this instance has joined the fleet. It reports whether it had
 // not joined before.
 func (s *ControlState) MarkJoined() bool {
@@ -182,12 +195,14 @@
 func (s *ControlState) loadRules() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	config, evacuated, err := s.config.Decoder.Config(s.Rules.Rows())
-	s.config.Balancer.SetEvacuated(s.config.Clock.Now(), evacuated)
+	rules, err := s.config.Decoder.Config(s.Rules.Rows())
+	s.logInvalidRows(&s.invalidRules, rules.Invalid)
+	s.config.Balancer.SetEvacuated(s.config.Clock.Now(), rules.Evacuated)
 	if err != nil {
 		s.config.Log.Error("decoding the configuration failed, keeping the active one", "error", err.Error())
 		return
 	}
+	config := rules.Config
 	if config == nil {
 		return
 	}
@@ -198,7 +213,7 @@
 	s.config.Balancer.SetServices(config.Services)
 	s.activeConfig.Store(config)
 	s.config.Log.Info("configuration activated", "version", config.Version, "services", len(config.Services),
-		"workspaces", len(config.Workspaces), "evacuated", evacuated.Sorted())
+		"workspaces", len(config.Workspaces), "evacuated", rules.Evacuated.Sorted())
 	metrics.GetOrRegisterGauge("config.version", s.config.Metrics).Update(config.Version)
 }
 
@@ -209,7 +224,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	list, invalid := s.config.Decoder.Servers(s.Servers.Rows())
-	s.logInvalidRows(invalid)
+	s.logInvalidRows(&s.invalidServers, invalid)
 	now := s.config.BootClock.Now()
 	s.detectOutage()
 	listed := make(map[string]placement.Server, len(list))
@@ -311,17 +326,6 @@
 	s.onRulesChange = call
 }
 
-// logInvalidRows logs the rows that were not invalid at the last update. The caller must
-// hold the lock.
-func (s *ControlState) logInvalidRows(keys []string) {
-	for _, key := range keys {
-		if !s.invalidRows.Has(key) {
-			s.config.Log.Warn("row describes no usable backend server", "row", key)
-		}
-	}
-	s.invalidRows = values.NewSet(keys...)
-}
-
 // InUse reports whether a backend server is listed or retained.
 func (s *ControlState) InUse(id string) bool {
 	s.mu.Lock()
--- a/steering/join.go
+++ b/steering/join.go
@@ -104,7 +104,10 @@
 func (p process) discover(ctx context.Context) bool {
 	listCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	list, err := p.Adapter.Store.Instances(listCtx)
+	list, invalid, err := p.Adapter.Store.Instances(listCtx)
+	for _, row := range invalid {
+		p.ControlState.OnInvalidRow(row)
+	}
 	if err != nil {
 		p.Log.Warn("listing the registered instances failed", "error", err.Error())
 		return false
--- a/steering/run.go
+++ b/steering/run.go
@@ -122,7 +122,11 @@
 // followTable keeps a replica up to date from the platform's store, while this instance
 // should read that table itself.
 func (p process) followTable(ctx context.Context, replica *fleet.Replica) {
-	p.Adapter.Store.Follow(ctx, replica, func() bool { return p.Membership.shouldPollStore(replica) })
+	p.Adapter.Store.Follow(ctx, Following{
+		Replica:    replica,
+		ShouldPoll: func() bool { return p.Membership.shouldPollStore(replica) },
+		OnInvalid:  p.ControlState.OnInvalidRow,
+	})
 }
 
 // handlePeer handles a request from a peer.
--- a/steering/steering_test.go
+++ b/steering/steering_test.go
@@ -23,18 +23,18 @@
 // configurations that are valid unless their value is "broken".
 type plainDecoder struct{}
 
-func (plainDecoder) Config(rows []*wire.TableRow) (*routing.Config, values.Set[string], error) {
-	var config *routing.Config
+func (plainDecoder) Config(rows []*wire.TableRow) (Rules, error) {
+	rules := Rules{}
 	for _, row := range rows {
 		if string(row.GetValue()) == "broken" {
-			return nil, values.NewSet[string](), errors.New("broken")
+			return Rules{}, errors.New("broken")
 		}
-		config = routing.New(routing.Spec{Version: row.GetVersion()})
+		rules.Config = routing.New(routing.Spec{Version: row.GetVersion()})
 	}
-	return config, values.NewSet[string](), nil
+	return rules, nil
 }
 
-func (plainDecoder) Servers(rows []*wire.TableRow) ([]placement.Server, []string) {
+func (plainDecoder) Servers(rows []*wire.TableRow) ([]placement.Server, []InvalidRow) {
 	var list []placement.Server
 	for _, row := range rows {
 		list = append(list, placement.Server{ID: row.GetKey(), Service: "s", Slots: 1, Draining: string(row.GetValue()) == "draining"})
