--- a/backend/call.go
+++ b/backend/call.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/bulrushferry/bulrushferry/clock"
+	"github.com/bulrushferry/bulrushferry/http1"
 	"github.com/bulrushferry/bulrushferry/values"
 	"github.com/bulrushferry/bulrushferry/wire"
 	"github.com/joomcode/errorx"
@@ -34,6 +35,8 @@
 		// acquired; an error ends the call, and the request is not sent.
 		BeforeSend func() error
 
+		// hold is the memory that the body of Response takes during the call.
+		hold *http1.Hold
 		// abandoned is set once the call no longer waits for a slot. The pool's
 		// lock guards it.
 		abandoned bool
@@ -75,6 +78,8 @@
 // unless that server declined it.
 func (p *Pool) Run(ctx context.Context, call *Call) Result {
 	p.budgets.Deposit(call.Workspace)
+	call.hold = p.config.Memory.Hold()
+	defer call.hold.Release()
 	if p.quarantine.Contains(call.Fingerprint) {
 		return notRun(ErrQuarantined.New("the request has crashed backend servers"))
 	}
@@ -121,7 +126,7 @@
 	if err != nil {
 		return attempt{outcome: wire.Outcome_OUTCOME_NOT_RUN, err: err}
 	}
-	name := s.info.GetName()
+	name := s.info().GetName()
 	if err := call.BeforeSend(); err != nil {
 		p.release(s)
 		return attempt{outcome: wire.Outcome_OUTCOME_NOT_RUN, err: err}
@@ -133,6 +138,7 @@
 		return attempt{outcome: wire.Outcome_OUTCOME_NOT_RUN, err: err, server: name}
 	}
 	started := p.config.Clock.Now()
+	call.hold.Release()
 	err = c.exchange(call.Request, call.Response, p.attemptOptions(call, n))
 	return p.finish(s, c, call, started, err)
 }
@@ -148,6 +154,7 @@
 		requestID: call.ID,
 		deadline:  time.Now().Add(left.Duration()),
 		timeLeft:  left,
+		hold:      call.hold,
 	}
 }
 
@@ -155,7 +162,7 @@
 // the slot, except after a timeout, when onTimeout releases it later.
 func (p *Pool) finish(s *server, c *conn, call *Call, started clock.Millis, err error) attempt {
 	now := p.config.Clock.Now()
-	out := attempt{outcome: outcomeOf(err), err: err, server: s.info.GetName()}
+	out := attempt{outcome: outcomeOf(err), err: err, server: s.info().GetName()}
 	if err == nil {
 		p.quarantine.Remove(call.Fingerprint)
 		p.onSuccess(s, c, call, now-started)
@@ -171,7 +178,7 @@
 		p.onDeclined(s, call)
 	case errorx.IsOfType(err, ErrConnectionLost):
 		p.onFailure(s)
-		p.broadcastSuspect(p.quarantine.RecordCrash(call.Fingerprint, s.info.GetName()))
+		p.broadcastSuspect(p.quarantine.RecordCrash(call.Fingerprint, s.info().GetName()))
 	default:
 		p.onFailure(s)
 	}
@@ -211,7 +218,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(call.Response.Header.Peek(DrainingHeader)) > 0 {
-		s.reportedDraining = true
+		s.markDraining(p.config.Clock.Now())
 		return
 	}
 	s.recordFailure(p.config.Clock.Now())
@@ -232,10 +239,10 @@
 	defer p.mu.Unlock()
 	s.recordSuccess(took)
 	if len(call.Response.Header.Peek(DrainingHeader)) > 0 {
-		s.reportedDraining = true
+		s.markDraining(p.config.Clock.Now())
 	}
 	c.lastUsedAt = p.config.Clock.Now()
-	if call.Response.ConnectionClose() || len(s.idle) >= s.maxConnections-s.slots {
+	if !isReusable(call.Response) || len(s.idle) >= s.maxConnections-s.slots {
 		s.openConnections--
 		_ = c.Close()
 		return
@@ -261,14 +268,14 @@
 	c := s.takeIdle(usedAfter)
 	if c == nil {
 		s.openConnections++
-		p.assertInvariant(s.openConnections <= max(s.maxConnections, s.slots), "server %s has %d connections, its part is %d", s.info.GetName(), s.openConnections, s.maxConnections)
+		p.assertInvariant(s.openConnections <= max(s.maxConnections, s.slots), "server %s has %d connections, its part is %d", s.info().GetName(), s.openConnections, s.maxConnections)
 	}
 	p.mu.Unlock()
 	if c != nil {
 		return c, nil
 	}
 	left := call.Deadline - now
-	c, err := dial(p.config.Source, s.info.GetAddress(), time.Now().Add(left.Duration()))
+	c, err := dial(p.config.Source, s.info().GetAddress(), time.Now().Add(left.Duration()))
 	if err != nil {
 		p.mu.Lock()
 		s.openConnections--
--- a/backend/conn.go
+++ b/backend/conn.go
@@ -2,14 +2,13 @@
 
 import (
 	"bufio"
-	"errors"
-	"io"
 	"net"
 	"net/netip"
 	"strconv"
 	"time"
 
 	"github.com/bulrushferry/bulrushferry/clock"
+	"github.com/bulrushferry/bulrushferry/http1"
 	"github.com/bulrushferry/bulrushferry/socket"
 	"github.com/valyala/fasthttp"
 )
@@ -19,7 +18,7 @@
 	// and is not reused after a request on it has failed.
 	conn struct {
 		*socket.TrackedConn
-		reader *bufio.Reader
+		reader *http1.ResponseReader
 		writer *bufio.Writer
 		// lastUsedAt is when the last complete response was read.
 		lastUsedAt clock.Millis
@@ -32,12 +31,14 @@
 		deadline time.Time
 		// timeLeft is the time until the deadline, as sent to the server.
 		timeLeft clock.Millis
+		// hold is the memory that the response's body takes.
+		hold *http1.Hold
 	}
 )
 
 const (
 	// RequestIDHeader identifies a request to the backend server, which may echo
-	// it in the response.
+	// it in the response. A connection is reused only after a response that does.
 	RequestIDHeader = "Bulrushferry-Request-Id"
 	// DeadlineHeader holds the time left for a request, in milliseconds.
 	DeadlineHeader = "Deadline-Ms"
@@ -46,13 +47,8 @@
 	// DrainingHeader is set by a backend server that is draining.
 	DrainingHeader = "Draining"
 
-	dialTimeout      = 500 * time.Millisecond
-	maxResponseBytes = 16 << 20
-	bufferBytes      = 8 << 10
-	// chunkedLength and identityLength are the content lengths that fasthttp
-	// gives to chunked bodies and to bodies that end with the connection.
-	chunkedLength  = -1
-	identityLength = -2
+	dialTimeout = 500 * time.Millisecond
+	bufferBytes = 8 << 10
 )
 
 // dial opens a connection from a source address; the zero address means any.
@@ -66,7 +62,7 @@
 		return nil, ErrNotSent.Wrap(err, "connecting to backend server %s", address)
 	}
 	c := &conn{TrackedConn: socket.Track(raw)}
-	c.reader = bufio.NewReaderSize(c, bufferBytes)
+	c.reader = http1.NewResponseReader(c)
 	c.writer = bufio.NewWriterSize(c, bufferBytes)
 	return c, nil
 }
@@ -90,7 +86,7 @@
 		return err
 	}
 	response.SkipBody = request.Header.IsHead()
-	if err := c.readResponse(response); err != nil {
+	if err := c.readResponse(response, options.hold); err != nil {
 		return err
 	}
 	return checkResponse(response, options.requestID)
@@ -98,36 +94,26 @@
 
 // readResponse reads the header and the whole body. It rejects a body without a
 // length, since a truncated one could not be told from a complete one.
-func (c *conn) readResponse(response *fasthttp.Response) error {
-	if err := response.Header.Read(c.reader); err != nil {
+func (c *conn) readResponse(response *fasthttp.Response, hold *http1.Hold) error {
+	if err := c.reader.ReadHead(response); err != nil {
 		return c.wrapReadError(err)
 	}
-	if response.StatusCode() == fasthttp.StatusContinue {
-		if err := response.Header.Read(c.reader); err != nil {
-			return c.wrapReadError(err)
-		}
-	}
-	if response.SkipBody || hasNoBody(response.StatusCode()) {
-		return nil
-	}
-	if response.Header.ContentLength() == identityLength {
+	framing := http1.FramingOf(response, response.SkipBody)
+	if framing == http1.UntilClose {
 		return ErrConnectionLost.New("the answer has no length, so it cannot be known to be whole")
 	}
-	chunked := response.Header.ContentLength() == chunkedLength
-	if err := response.ReadBody(c.reader, maxResponseBytes); err != nil {
-		return c.wrapReadError(err)
-	}
-	if !chunked {
-		return nil
-	}
-	if err := response.Header.ReadTrailer(c.reader); err != nil && !errors.Is(err, io.EOF) {
+	if err := c.reader.ReadBody(response, framing, hold); err != nil {
 		return c.wrapReadError(err)
 	}
+	c.reader.Shrink()
 	return nil
 }
 
-func hasNoBody(status int) bool {
-	return status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
+// isReusable reports whether the connection can carry another request after a response.
+// Without a request id a late second copy of the response could not be told from the
+// response to the next request.
+func isReusable(response *fasthttp.Response) bool {
+	return !response.ConnectionClose() && len(response.Header.Peek(RequestIDHeader)) > 0
 }
 
 // send writes the request. The error is ErrNotSent only if no write to the
--- a/backend/probe.go
+++ b/backend/probe.go
@@ -31,6 +31,7 @@
 }
 
 func (p *Pool) probe(s *server) {
+	askedAt := p.config.Clock.Now()
 	report, ok := p.fetchLoad(s)
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -39,16 +40,21 @@
 		s.reportedBusy = false
 		return
 	}
-	s.reportedDraining = report.GetDraining()
+	switch {
+	case report.GetDraining():
+		s.markDraining(askedAt)
+	case askedAt > s.drainingSince:
+		s.reportedDraining = false
+	}
 	s.reportedBusy = report.GetInFlight()*100 >= report.GetSlots()*busyPercent
-	p.dispatch(p.service(s.info.GetService()))
+	p.dispatch(p.service(s.info().GetService()))
 }
 
 // fetchLoad requests a server's load report. It opens a new connection, so that a
 // stalled pooled connection does not look like a stalled server.
 func (p *Pool) fetchLoad(s *server) (*wire.LoadReport, bool) {
 	deadline := time.Now().Add(probeTimeout.Duration())
-	c, err := dial(p.config.Source, s.info.GetAddress(), deadline)
+	c, err := dial(p.config.Source, s.info().GetAddress(), deadline)
 	if err != nil {
 		return nil, false
 	}
@@ -56,7 +62,7 @@
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
-	request.SetRequestURI("http://" + s.info.GetAddress() + loadPath)
+	request.SetRequestURI("http://" + s.info().GetAddress() + loadPath)
 	request.SetConnectionClose()
 	err = c.exchange(request, response, exchangeOptions{requestID: "probe", deadline: deadline, timeLeft: probeTimeout})
 	if err != nil {
--- a/backend/server.go
+++ b/backend/server.go
@@ -1,6 +1,8 @@
 package backend
 
 import (
+	"sync/atomic"
+
 	"github.com/bulrushferry/bulrushferry/clock"
 	"github.com/bulrushferry/bulrushferry/socket"
 	"github.com/bulrushferry/bulrushferry/wire"
@@ -8,10 +10,11 @@
 
 type (
 	// server is this instance's state of one backend server. The pool's lock
-	// guards it, but calls and probes read info without the lock.
+	// guards all of it but listing, which calls and probes read without the lock.
 	server struct {
-		info   *wire.BackendServer
-		region *regionLoad
+		// listing is the server's latest entry in the platform's list.
+		listing atomic.Pointer[wire.BackendServer]
+		region  *regionLoad
 		// slots and maxConnections are this instance's shares of the server's
 		// limits.
 		slots          int
@@ -33,8 +36,10 @@
 		// failures counts consecutive failures.
 		failures int
 		// reportedDraining and reportedBusy are set from the server's responses and
-		// load reports.
+		// load reports. A load report that was asked for before drainingSince does
+		// not take reportedDraining back.
 		reportedDraining bool
+		drainingSince    clock.Millis
 		reportedBusy     bool
 		// leaving is set if the platform lists the server as leaving, or no
 		// longer lists it.
@@ -66,6 +71,11 @@
 	maxIdleTimeOnce = clock.Second
 )
 
+// info returns the server's latest entry in the platform's list.
+func (s *server) info() *wire.BackendServer {
+	return s.listing.Load()
+}
+
 // add adds a sample to the average. A sample counts as at least one millisecond,
 // since an average of zero means that there is no sample yet.
 func (l *latencyAverage) add(sample clock.Millis) {
@@ -114,9 +124,15 @@
 	return max(1, s.slots*int(age)/int(slowStartWindow))
 }
 
+// markDraining records that the server has said that it is draining.
+func (s *server) markDraining(now clock.Millis) {
+	s.reportedDraining = true
+	s.drainingSince = now
+}
+
 func (s *server) candidate(now clock.Millis) Candidate {
 	return Candidate{
-		Name:            s.info.GetName(),
+		Name:            s.info().GetName(),
 		Slots:           s.usableSlots(now),
 		InFlight:        s.inFlight,
 		Latency:         s.latency.millis(),
--- a/entry/run.go
+++ b/entry/run.go
@@ -27,6 +27,9 @@
 	// from callers that still use an old lookup response. It exceeds the maximum age
 	// of such a response.
 	shutdownDelay = 3 * time.Second
+	// responseMemoryBytes limits what the responses of backend servers hold together
+	// while they are read.
+	responseMemoryBytes = 256 << 20
 )
 
 var (
--- a/entry/wiring.go
+++ b/entry/wiring.go
@@ -15,6 +15,7 @@
 	"github.com/bulrushferry/bulrushferry/backend"
 	"github.com/bulrushferry/bulrushferry/caller"
 	"github.com/bulrushferry/bulrushferry/clock"
+	"github.com/bulrushferry/bulrushferry/http1"
 	"github.com/bulrushferry/bulrushferry/objective"
 	"github.com/bulrushferry/bulrushferry/once"
 	"github.com/bulrushferry/bulrushferry/operator"
@@ -214,6 +215,7 @@
 		Source:           sourceAddress(settings),
 		ServerLimits:     func(server *wire.BackendServer) (int, int) { return serverShares(fleet, server) },
 		RegionLimit:      func(region string) int { return regionShare(fleet, region) },
+		Memory:           http1.NewMemory(responseMemoryBytes),
 		BroadcastSuspect: func(suspect *wire.Suspect) { broadcastSuspect(fleet, transport, suspect) },
 		AssertInvariants: settings.GetAssertInvariants(),
 	})
--- a/fleet/gossip.go
+++ b/fleet/gossip.go
@@ -24,11 +24,18 @@
 		// OnPeerRestart is called with the address of a peer that has restarted,
 		// because connections to its former process are dead.
 		OnPeerRestart func(address string)
-		// CrashingRequests returns the fingerprints of requests that crash
-		// backend servers.
-		CrashingRequests func() []uint64
-		// Quarantine is called with each such fingerprint that a peer reports.
-		Quarantine func(fingerprint uint64)
+		// Clues is what this instance and its peers learn from backend servers; it may
+		// be nil.
+		Clues Clues
+	}
+
+	// Clues is what an instance learns from backend servers before the platform does.
+	Clues interface {
+		// Get returns what is known here.
+		Get() *wire.Clues
+		// Record adds what a peer knows. The peer stated the ages at most the transit
+		// time ago.
+		Record(peer string, received *wire.Clues, transit clock.Millis)
 	}
 
 	// Gossip exchanges table updates and heartbeats with peers. In each round
@@ -166,7 +173,7 @@
 func (g *Gossip) exchange(ctx context.Context, address string, includeMissing bool) bool {
 	ctx, cancel := context.WithTimeout(ctx, gossipTimeout)
 	defer cancel()
-	unknown, ok := g.call(ctx, address, &wire.Gossip{Sender: g.config.Members.Self(), Tables: g.digests(includeMissing)})
+	unknown, ok := g.call(ctx, address, &wire.Gossip{Sender: g.config.Members.Self(), Tables: g.digests(includeMissing), Clues: g.clues()})
 	if ok && len(unknown) > 0 {
 		_, ok = g.call(ctx, address, &wire.Gossip{Sender: g.config.Members.Self(), Unknown: unknown})
 	}
@@ -245,20 +252,33 @@
 	}
 	for _, delta := range updates.GetTables() {
 		if table := g.findTable(delta.GetTable()); table != nil {
-			table.Apply(delta, askedAt-clock.Millis(delta.GetAgeMs()))
+			table.Apply(delta, askedAt-clock.Millis(max(delta.GetAgeMs(), 0)))
 		}
 	}
-	for _, fingerprint := range answer.GetCrashing() {
-		g.config.Quarantine(fingerprint)
-	}
+	g.recordClues(answer.GetSender(), answer.GetClues(), g.config.Clock.Now()-askedAt)
 	return unknown
 }
 
+// clues returns what this instance has learned from backend servers.
+func (g *Gossip) clues() *wire.Clues {
+	if g.config.Clues == nil {
+		return nil
+	}
+	return g.config.Clues.Get()
+}
+
+// recordClues records what a peer has learned from backend servers.
+func (g *Gossip) recordClues(sender *wire.FleetInstance, received *wire.Clues, transit clock.Millis) {
+	if g.config.Clues != nil && received != nil {
+		g.config.Clues.Record(sender.GetInstance(), received, transit)
+	}
+}
+
 // recordPeerAges records how recent a peer's tables are.
 func (g *Gossip) recordPeerAges(digests []*wire.TableDigest, at clock.Millis) {
 	for _, digest := range digests {
 		if table := g.findTable(digest.GetTable()); table != nil {
-			table.RecordPeerAsOf(at - clock.Millis(digest.GetAgeMs()))
+			table.RecordPeerAsOf(at - clock.Millis(max(digest.GetAgeMs(), 0)))
 		}
 	}
 }
@@ -280,6 +300,7 @@
 		g.config.OnPeerRestart(request.GetSender().GetPeerAddress())
 	}
 	g.recordPeerAges(request.GetTables(), now)
+	g.recordClues(request.GetSender(), request.GetClues(), 0)
 	answer := &wire.GossipAnswer{Sender: g.config.Members.Self(), Members: g.config.Members.Entries(request.GetUnknown(), now), Tables: g.digests(true)}
 	if len(request.GetUnknown()) == 0 {
 		answer.States, answer.Ages = g.config.Members.Heartbeats(now)
@@ -300,6 +321,6 @@
 		go g.fetch(context.WithoutCancel(ctx), request.GetSender().GetPeerAddress())
 	}
 	answer.News = encodeUpdates(updates)
-	answer.Crashing = g.config.CrashingRequests()
+	answer.Clues = g.clues()
 	return answer
 }
--- a/fleet/gossip_test.go
+++ b/fleet/gossip_test.go
@@ -46,7 +46,7 @@
 		infos = append(infos, info)
 		g := NewGossip(GossipConfig{
 			Clock: c, Log: hclog.NewNullLogger(), Network: n, Members: NewMembers(info, 5*clock.Second),
-			OnPeerRestart: func(string) {}, CrashingRequests: func() []uint64 { return nil }, Quarantine: func(uint64) {},
+			OnPeerRestart: func(string) {},
 		})
 		n.peers[info.GetPeerAddress()] = g
 		list = append(list, g)
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -304,5 +304,5 @@
 // RecordReport records an entry that a peer reported. The age in the entry counts from
 // when the peer was asked. It reports the same as Record.
 func (m *Members) RecordReport(info *wire.FleetInstance, askedAt clock.Millis) bool {
-	return m.Record(info, askedAt-clock.Millis(info.GetHeardAgeMs()))
+	return m.Record(info, askedAt-clock.Millis(max(info.GetHeardAgeMs(), 0)))
 }
--- a/fleet/updates.go
+++ b/fleet/updates.go
@@ -7,6 +7,10 @@
 	"google.golang.org/protobuf/proto"
 )
 
+// maxUpdateBytes limits what a peer's updates may take after decompression. It is well
+// above the size of the tables of a large deployment.
+const maxUpdateBytes = 256 << 20
+
 var (
 	errorSpace = errorx.NewNamespace("fleet")
 
@@ -29,6 +33,9 @@
 	if len(data) == 0 {
 		return updates, nil
 	}
+	if length, err := s2.DecodedLen(data); err != nil || length > maxUpdateBytes {
+		return updates, errUnreadable.New("updates of %d bytes after decompression", length)
+	}
 	raw, err := s2.Decode(nil, data)
 	if err != nil {
 		return updates, errUnreadable.Wrap(err, "decompressing updates")
--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -46,6 +46,8 @@
 		Response *fasthttp.Response
 
 		conn *conn
+		// onEnd is called once the response has been written or dropped.
+		onEnd func()
 		// ready is set once the response can be written.
 		ready bool
 		// closeAfter is set if the connection is closed after this response.
@@ -248,14 +250,40 @@
 	x.ready = true
 	for len(c.pending) > 0 && c.pending[0].ready && !c.closed {
 		c.writeResponse(c.pending[0])
+		c.pending[0].end()
 		c.pending = c.pending[1:]
 	}
 	if c.closed {
+		c.dropReady()
 		c.cancel()
 	}
 	c.changed.Broadcast()
 }
 
+// dropReady ends the exchanges whose responses will not be written. The caller must hold
+// the lock.
+func (c *conn) dropReady() {
+	for _, x := range c.pending {
+		if x.ready {
+			x.end()
+		}
+	}
+}
+
+// OnEnd sets a function that is called once the response has been written or dropped.
+// Only the handler may call it, before it returns.
+func (x *Exchange) OnEnd(call func()) {
+	x.onEnd = call
+}
+
+// end calls the function set with OnEnd, once.
+func (x *Exchange) end() {
+	if x.onEnd != nil {
+		x.onEnd()
+		x.onEnd = nil
+	}
+}
+
 // writeResponse writes a response, and closes the connection for writing if it is the last
 // one. The caller must hold the lock.
 func (c *conn) writeResponse(x *Exchange) {
@@ -301,6 +329,7 @@
 	c.cancel()
 	c.mu.Lock()
 	c.closed = true
+	c.dropReady()
 	c.changed.Broadcast()
 	c.mu.Unlock()
 	_ = c.Close()
@@ -339,9 +368,9 @@
 		out = append(out, value...)
 		out = append(out, "\r\n"...)
 	}
-	if response.StatusCode() != fasthttp.StatusNoContent && response.StatusCode() != fasthttp.StatusNotModified {
+	if length, ok := contentLength(x); ok {
 		out = append(out, "Content-Length: "...)
-		out = strconv.AppendInt(out, int64(len(body)), 10)
+		out = strconv.AppendInt(out, int64(length), 10)
 		out = append(out, "\r\n"...)
 	}
 	if closeAfter {
@@ -353,3 +382,18 @@
 	}
 	return append(out, body...)
 }
+
+// contentLength returns the value of the Content-Length field of a response, and whether
+// the response has that field. The response to a HEAD request has no body and states the
+// length that the backend server stated, if it did.
+func contentLength(x *Exchange) (int, bool) {
+	status := x.Response.StatusCode()
+	if status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified {
+		return 0, false
+	}
+	length := len(x.Response.Body())
+	if x.Request.Header.IsHead() && length == 0 {
+		length = x.Response.Header.ContentLength()
+	}
+	return length, length >= 0
+}
--- a/gateway/server_test.go
+++ b/gateway/server_test.go
@@ -178,3 +178,14 @@
 		})
 	}
 }
+
+// TestHeadResponse checks that the response to HEAD states the length that the backend
+// server stated, without a body, and that the connection carries the next request.
+func TestHeadResponse(t *testing.T) {
+	x := &Exchange{Request: &fasthttp.Request{}, Response: &fasthttp.Response{}}
+	x.Request.Header.SetMethod(fasthttp.MethodHead)
+	x.Response.Header.SetContentLength(500)
+	if got := string(encodeResponse(x, false)); !strings.Contains(got, "Content-Length: 500\r\n") || !strings.HasSuffix(got, "\r\n\r\n") {
+		t.Errorf("got %q", got)
+	}
+}
--- /dev/null
+++ b/http1/response.go
@@ -0,0 +1,191 @@
+// Package http1 reads HTTP/1.1 responses from servers that may send anything: heads and
+// bodies without end, endless interim responses, or bytes that are no response.
+package http1
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"net/http/httputil"
+	"sync"
+
+	"github.com/joomcode/errorx"
+	"github.com/valyala/fasthttp"
+)
+
+type (
+	// ResponseReader reads the responses on one connection, one after the other. It is
+	// not safe for concurrent use.
+	ResponseReader struct {
+		source io.Reader
+		buffer *bufio.Reader
+	}
+
+	// Framing tells how the end of a response's body is found.
+	Framing int
+)
+
+const (
+	// NoBody means that the response has no body.
+	NoBody Framing = iota
+	// FixedLength means that the head states the length of the body.
+	FixedLength
+	// Chunked means that the body has the chunked transfer coding.
+	Chunked
+	// UntilClose means that the body ends with the connection.
+	UntilClose
+)
+
+const (
+	// bufferBytes is the size of a connection's read buffer, and of the usual heads.
+	bufferBytes = 4 << 10
+	// maxHeadBytes limits the head of a response, and its trailer.
+	maxHeadBytes = 64 << 10
+	// maxInterimResponses limits the 1xx responses before the final one.
+	maxInterimResponses = 8
+	// maxBodyBytes limits the body of a response whatever memory there is.
+	maxBodyBytes = 64 << 20
+	// scratchBytes is how much of a body is read at a time.
+	scratchBytes = 32 << 10
+
+	// fasthttp gives these content lengths to chunked bodies and to those that end with
+	// the connection.
+	chunkedLength    = -1
+	untilCloseLength = -2
+)
+
+var (
+	errorSpace = errorx.NewNamespace("http1")
+
+	// ErrTooLarge means that the response exceeds a limit. The connection must be closed.
+	ErrTooLarge = errorSpace.NewType("too_large")
+
+	scratch = sync.Pool{New: func() any { return new([scratchBytes]byte) }}
+)
+
+// NewResponseReader returns a reader of the responses on a connection.
+func NewResponseReader(source io.Reader) *ResponseReader {
+	return &ResponseReader{source: source, buffer: bufio.NewReaderSize(source, bufferBytes)}
+}
+
+// Buffered returns the number of bytes that were received and belong to no response yet.
+func (r *ResponseReader) Buffered() int {
+	return r.buffer.Buffered()
+}
+
+// ReadHead reads the head of the next final response and skips interim ones.
+func (r *ResponseReader) ReadHead(response *fasthttp.Response) error {
+	for range maxInterimResponses {
+		if err := r.readHead(response); err != nil {
+			return err
+		}
+		if response.StatusCode() >= fasthttp.StatusOK {
+			return nil
+		}
+	}
+	return ErrTooLarge.New("more than %d interim responses", maxInterimResponses)
+}
+
+// readHead reads one head. Its buffer grows only for a head that needs it.
+func (r *ResponseReader) readHead(response *fasthttp.Response) error {
+	return r.withLargeBuffer("head", func() error { return response.Header.Read(r.buffer) })
+}
+
+// withLargeBuffer calls a function that parses the buffered bytes, and calls it again
+// with a buffer of maxHeadBytes if it needs one.
+func (r *ResponseReader) withLargeBuffer(part string, parse func() error) error {
+	err := parse()
+	if !isSmallBuffer(err) {
+		return err
+	}
+	r.grow()
+	if err = parse(); isSmallBuffer(err) {
+		return ErrTooLarge.New("the response's %s has more than %d bytes", part, maxHeadBytes)
+	}
+	return err
+}
+
+func isSmallBuffer(err error) bool {
+	var small *fasthttp.ErrSmallBuffer
+	return errors.As(err, &small)
+}
+
+// grow replaces the buffer by a larger one with the same unread bytes.
+func (r *ResponseReader) grow() {
+	unread, _ := r.buffer.Peek(r.buffer.Buffered())
+	source := io.MultiReader(bytes.NewReader(bytes.Clone(unread)), r.source)
+	r.buffer = bufio.NewReaderSize(source, maxHeadBytes)
+}
+
+// Shrink gives back a buffer that grew, unless it holds unread bytes.
+func (r *ResponseReader) Shrink() {
+	if r.buffer.Size() > bufferBytes && r.buffer.Buffered() == 0 {
+		r.buffer = bufio.NewReaderSize(r.source, bufferBytes)
+	}
+}
+
+// FramingOf returns how the body of a response ends. head is set if the response answers a
+// HEAD request.
+func FramingOf(response *fasthttp.Response, head bool) Framing {
+	status := response.StatusCode()
+	switch {
+	case head || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified:
+		return NoBody
+	case response.Header.ContentLength() == chunkedLength:
+		return Chunked
+	case response.Header.ContentLength() == untilCloseLength:
+		return UntilClose
+	default:
+		return FixedLength
+	}
+}
+
+// ReadBody reads the body of the response whose head was read last. Each part is added to
+// hold before it is kept.
+func (r *ResponseReader) ReadBody(response *fasthttp.Response, framing Framing, hold *Hold) error {
+	switch framing {
+	case FixedLength:
+		length := int64(response.Header.ContentLength())
+		if length > maxBodyBytes {
+			return ErrTooLarge.New("the response's body has %d bytes, more than %d", length, int64(maxBodyBytes))
+		}
+		copied, err := copyBody(response, io.LimitReader(r.buffer, length), hold)
+		if err == nil && copied < length {
+			return io.ErrUnexpectedEOF
+		}
+		return err
+	case Chunked:
+		if _, err := copyBody(response, httputil.NewChunkedReader(r.buffer), hold); err != nil {
+			return err
+		}
+		return r.withLargeBuffer("trailer", func() error { return response.Header.ReadTrailer(r.buffer) })
+	case UntilClose:
+		_, err := copyBody(response, r.buffer, hold)
+		return err
+	default:
+		return nil
+	}
+}
+
+// copyBody appends what a reader delivers up to its end to the body of a response, and
+// returns the number of bytes.
+func copyBody(response *fasthttp.Response, body io.Reader, hold *Hold) (int64, error) {
+	part := scratch.Get().(*[scratchBytes]byte)
+	defer scratch.Put(part)
+	copied := int64(0)
+	for {
+		n, err := body.Read(part[:])
+		copied += int64(n)
+		if copied > maxBodyBytes || !hold.Grow(n) {
+			return copied, ErrTooLarge.New("there is no memory for the response's body after %d bytes", copied)
+		}
+		response.AppendBody(part[:n])
+		if errors.Is(err, io.EOF) {
+			return copied, nil
+		}
+		if err != nil {
+			return copied, err
+		}
+	}
+}
--- a/origin/conn.go
+++ b/origin/conn.go
@@ -1,13 +1,13 @@
 package origin
 
 import (
-	"bufio"
 	"errors"
 	"net"
 	"strconv"
 	"strings"
 
 	"github.com/bulrushferry/bulrushferry/clock"
+	"github.com/bulrushferry/bulrushferry/http1"
 	"github.com/bulrushferry/bulrushferry/socket"
 	"github.com/valyala/fasthttp"
 )
@@ -15,7 +15,9 @@
 // conn is a connection to a backend server. It carries one request at a time.
 type conn struct {
 	*socket.TrackedConn
-	reader *bufio.Reader
+	reader *http1.ResponseReader
+	// serverLeaving is set once a response said that the server leaves.
+	serverLeaving bool
 	// lastUsedAt is when the last response was read.
 	lastUsedAt clock.Millis
 	// idleTimeout is how long after lastUsedAt the connection may be reused.
@@ -23,14 +25,11 @@
 }
 
 const (
-	// identityLength is the content length that fasthttp gives to a body that ends
-	// with the connection.
-	identityLength   = -2
-	maxResponseBytes = 64 << 20
-	readBufferBytes  = 4 << 10
 	// maxStaleResponses limits the responses that are read while skipping those to
 	// earlier requests.
 	maxStaleResponses = 4
+	// leavingValue is the value of the Leaving field of a server that leaves.
+	leavingValue = "1"
 	// idleMargin is how long before the server's idle timeout a connection is no
 	// longer reused.
 	idleMargin = clock.Second
@@ -38,7 +37,7 @@
 
 func newConn(c net.Conn) *conn {
 	wrapped := &conn{TrackedConn: socket.Track(c), idleTimeout: maxIdleTime}
-	wrapped.reader = bufio.NewReaderSize(wrapped, readBufferBytes)
+	wrapped.reader = http1.NewResponseReader(wrapped)
 	return wrapped
 }
 
@@ -50,54 +49,46 @@
 
 // exchange sends a request and reads the response to it. It reports whether the
 // connection can carry another request.
-func (c *conn) exchange(names HeaderNames, id string, payload []byte, response *fasthttp.Response) (bool, error) {
-	if n, err := c.Write(payload); err != nil {
+func (c *conn) exchange(names HeaderNames, request *Request, response *fasthttp.Response) (bool, error) {
+	if n, err := c.Write(request.encode(names)); err != nil {
 		if n == 0 {
 			return false, ErrUnreachable.Wrap(err, "sending the request")
 		}
 		return false, c.wrapError(err, "sending the request")
 	}
 	for range maxStaleResponses {
-		reusable, err := c.readResponse(response)
+		reusable, err := c.readResponse(names, request, response)
 		if err != nil {
 			return false, err
 		}
-		if c.isStale(names, id, response) {
+		if c.isStale(names, request.ID, response) {
 			response.Reset()
+			request.Hold.Release()
 			continue
 		}
-		if err := checkResponse(names, id, response); err != nil {
+		if err := checkResponse(names, request.ID, response); err != nil {
 			return false, err
 		}
+		c.reader.Shrink()
 		return reusable && c.reader.Buffered() == 0, nil
 	}
 	return false, ErrResponseLost.New("the connection carries only answers to other requests")
 }
 
-// readResponse reads one response with its body and skips interim responses. It
-// reports whether the connection can carry another request.
-func (c *conn) readResponse(response *fasthttp.Response) (bool, error) {
-	for {
-		if err := response.Header.Read(c.reader); err != nil {
-			return false, c.wrapError(err, "reading the answer's head")
-		}
-		if response.StatusCode() >= fasthttp.StatusOK {
-			break
-		}
-	}
-	length := response.Header.ContentLength()
-	if hasNoBody(response.StatusCode()) {
-		return !response.ConnectionClose(), nil
+// readResponse reads one response with its body. It reports whether the connection can
+// carry another request. A connection ends with a response that names no request: a
+// second copy of it could not be told from the response to the next request.
+func (c *conn) readResponse(names HeaderNames, request *Request, response *fasthttp.Response) (bool, error) {
+	if err := c.reader.ReadHead(response); err != nil {
+		return false, c.wrapError(err, "reading the answer's head")
 	}
-	if err := response.ReadBody(c.reader, maxResponseBytes); err != nil {
+	c.serverLeaving = c.serverLeaving || isLeaving(names, response)
+	framing := http1.FramingOf(response, request.Source.Header.IsHead())
+	if err := c.reader.ReadBody(response, framing, request.Hold); err != nil {
 		return false, c.wrapError(err, "reading the answer's body")
 	}
-	if length == -1 {
-		if err := response.Header.ReadTrailer(c.reader); err != nil {
-			return false, c.wrapError(err, "reading the answer's trailer")
-		}
-	}
-	return length != identityLength && !response.ConnectionClose(), nil
+	named := len(response.Header.Peek(names.RequestID)) > 0
+	return named && framing != http1.UntilClose && !response.ConnectionClose(), nil
 }
 
 // isStale reports whether a response is a late one to another request.
@@ -131,8 +122,9 @@
 	return len(response.Header.Peek(names.Declined)) > 0 || response.StatusCode() == fasthttp.StatusMisdirectedRequest
 }
 
-func hasNoBody(status int) bool {
-	return status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
+// isLeaving reports whether the response says that its server leaves.
+func isLeaving(names HeaderNames, response *fasthttp.Response) bool {
+	return names.Leaving != "" && string(response.Header.Peek(names.Leaving)) == leavingValue
 }
 
 // setIdleTimeout sets the connection's idle timeout from the response's Keep-Alive
--- a/origin/errors.go
+++ b/origin/errors.go
@@ -10,6 +10,9 @@
 	// ErrConnectionLimit means that this instance has no connection left to the
 	// server; nothing was sent.
 	ErrConnectionLimit = errorSpace.NewType("busy")
+	// ErrWithheld means that the request was no longer allowed to be sent when a
+	// connection was ready; nothing was sent.
+	ErrWithheld = errorSpace.NewType("withheld")
 	// ErrResponseLost means that no complete, valid response was received. The
 	// request may have run.
 	ErrResponseLost = errorSpace.NewType("lost")
--- a/origin/headers.go
+++ b/origin/headers.go
@@ -24,6 +24,8 @@
 	Load string
 	// Cold holds the time for which a server remains cold, in milliseconds.
 	Cold string
+	// Leaving marks every response of a server that is about to stop.
+	Leaving string
 	// AffinityCookie names the object that a request concerns.
 	AffinityCookie string
 }
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -20,7 +20,7 @@
 
 var testHeaders = HeaderNames{
 	RequestID: "Request-Id", Deadline: "Deadline", APIKey: "Key", Workspace: "Workspace", Pin: "Pin",
-	Declined: "Declined", Signature: "Signature", Load: "Load", Cold: "Cold", AffinityCookie: "object",
+	Declined: "Declined", Signature: "Signature", Load: "Load", Cold: "Cold", Leaving: "Leaving", AffinityCookie: "object",
 }
 
 // responder returns the bytes that a server sends after it has read request n,
@@ -92,7 +92,7 @@
 	source.Header.Set("X-Private", "1")
 	source.Header.Set("X-Public", "1")
 	source.Header.Set("Request-Id", id)
-	return &Request{ID: id, Pin: "s", Workspace: "w", TimeLeft: 400, Source: source}
+	return &Request{ID: id, Pin: "s", Workspace: "w", TimeLeft: 400, Source: source, MaySend: func() bool { return true }}
 }
 
 // responseTo returns a complete, signed response to the request with the given id.
--- a/origin/pool.go
+++ b/origin/pool.go
@@ -56,6 +56,11 @@
 		HasLoad bool
 		// ColdFor is how long the server remains cold.
 		ColdFor clock.Millis
+		// Leaving is set if the server is about to stop. It is also set where the rest
+		// of the response was lost.
+		Leaving bool
+		// Pause is how long the server wants no requests from this instance.
+		Pause Pause
 	}
 )
 
@@ -68,6 +73,10 @@
 	// dialTimeout is several times the network delay between the most distant
 	// regions.
 	dialTimeout = 350 * time.Millisecond
+	// maxColdFor limits what a server may say of how long it stays cold.
+	maxColdFor = 10 * 60 * clock.Second
+	// maxLoad limits the numbers of requests that a server may report.
+	maxLoad = 1 << 16
 )
 
 // NewPool returns a pool without connections.
@@ -77,7 +86,8 @@
 
 // Do sends a request to a server and reads the response. idempotent is set if the
 // request may be sent again after a failure. Canceling the context closes the
-// connection, so that the server can stop running the request.
+// connection, so that the server can stop running the request. After an error only
+// Leaving of the result may be set.
 func (p *Pool) Do(ctx context.Context, server placement.Server, idempotent bool, request *Request, response *fasthttp.Response) (ResponseInfo, error) {
 	deadline := time.Now().Add(request.TimeLeft.Duration())
 	c, err := p.connect(server, idempotent, request.TimeLeft)
@@ -88,32 +98,42 @@
 		p.discard(server, c)
 		return ResponseInfo{}, ErrUnreachable.Wrap(err, "setting the deadline")
 	}
+	if !request.MaySend() {
+		p.put(server, c, true)
+		return ResponseInfo{}, ErrWithheld.New("server %s or this instance may no longer serve the request", server.ID)
+	}
 	started := p.config.Clock.Now()
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-	reusable, err := c.exchange(p.config.Headers, request.ID, request.encode(p.config.Headers), response)
+	reusable, err := c.exchange(p.config.Headers, request, response)
+	info := ResponseInfo{Leaving: c.serverLeaving}
 	if !stop() {
 		p.discard(server, c)
-		return ResponseInfo{}, ErrCanceled.New("the request was cancelled")
+		return info, ErrCanceled.New("the request was cancelled")
 	}
 	if err != nil {
 		p.discard(server, c)
 		p.closeStalled(server, started, err)
-		return ResponseInfo{}, err
+		return info, err
 	}
 	c.setIdleTimeout(response)
-	p.put(server, c, reusable)
-	return p.responseInfo(response), nil
+	p.put(server, c, reusable && !c.serverLeaving)
+	if c.serverLeaving {
+		p.closeIdle(server)
+	}
+	return p.responseInfo(info, response), nil
 }
 
-func (p *Pool) responseInfo(response *fasthttp.Response) ResponseInfo {
+// responseInfo adds to info what a complete response says about the server.
+func (p *Pool) responseInfo(info ResponseInfo, response *fasthttp.Response) ResponseInfo {
 	names := p.config.Headers
-	info := ResponseInfo{
-		Declined:    isDeclined(names, response),
-		Misdirected: response.StatusCode() == fasthttp.StatusMisdirectedRequest,
-	}
+	info.Declined = isDeclined(names, response)
+	info.Misdirected = response.StatusCode() == fasthttp.StatusMisdirectedRequest
 	info.Load, info.HasLoad = parseLoad(string(response.Header.Peek(names.Load)))
 	if cold, err := strconv.Atoi(string(response.Header.Peek(names.Cold))); err == nil {
-		info.ColdFor = clock.Millis(cold)
+		info.ColdFor = min(max(clock.Millis(cold), 0), maxColdFor)
+	}
+	if response.StatusCode() == fasthttp.StatusServiceUnavailable {
+		info.Pause = parsePause(response.Header.Peek(fasthttp.HeaderRetryAfter))
 	}
 	return info
 }
@@ -133,7 +153,7 @@
 	if err != nil {
 		return 0, false
 	}
-	return running + waiting, true
+	return min(max(running, 0), maxLoad) + min(max(waiting, 0), maxLoad), true
 }
 
 // connect returns an idle connection or opens a new one.
@@ -236,6 +256,13 @@
 	p.unreserve(server)
 }
 
+// closeIdle closes the idle connections to a server.
+func (p *Pool) closeIdle(server placement.Server) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.serverConns(server).pruneIdle(func(*conn) bool { return false })
+}
+
 // closeStalled closes, after a timeout, the idle connections to a server that have not
 // been used since the given time: they may be stalled for the same reason.
 func (p *Pool) closeStalled(server placement.Server, since clock.Millis, err error) {
@@ -259,14 +286,14 @@
 }
 
 // Prune closes connections that have been idle for too long, and all idle connections
-// to servers that are no longer listed. It removes such a server once none is open.
-func (p *Pool) Prune(listed func(id string) bool) {
+// to servers that are no longer in use. It removes such a server once none is open.
+func (p *Pool) Prune(inUse func(id string) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.config.Clock.Now()
 	for id, conns := range p.servers {
-		conns.pruneIdle(func(c *conn) bool { return listed(id) && now-c.lastUsedAt < c.idleTimeout })
-		if conns.open == 0 && !listed(id) {
+		conns.pruneIdle(func(c *conn) bool { return inUse(id) && now-c.lastUsedAt < c.idleTimeout })
+		if conns.open == 0 && !inUse(id) {
 			delete(p.servers, id)
 		}
 	}
@@ -284,6 +311,8 @@
 		return placement.Unreachable
 	case errorx.IsOfType(err, ErrConnectionLimit):
 		return placement.ConnectionLimit
+	case errorx.IsOfType(err, ErrWithheld):
+		return placement.Withheld
 	case errorx.IsOfType(err, ErrTimeout):
 		return placement.TimedOut
 	case errorx.IsOfType(err, ErrCanceled):
--- a/origin/request.go
+++ b/origin/request.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"github.com/bulrushferry/bulrushferry/clock"
+	"github.com/bulrushferry/bulrushferry/http1"
 	"github.com/valyala/fasthttp"
 )
 
@@ -20,6 +21,11 @@
 	TimeLeft clock.Millis
 	// Source is the request as the caller sent it.
 	Source *fasthttp.Request
+	// Hold is the memory that the response's body takes.
+	Hold *http1.Hold
+	// MaySend is called right before the request is sent. If it returns false, nothing
+	// is sent.
+	MaySend func() bool
 }
 
 // hopByHopHeaders concern a single connection and are not forwarded.
--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -55,6 +55,7 @@
 		// domainLoads is keyed by service and failure domain.
 		domainLoads  map[string]*domainLoad
 		roundTrips   map[string]clock.Millis
+		notices      notices
 		listReceived bool
 	}
 
@@ -90,6 +91,7 @@
 		domainLoads:   make(map[string]*domainLoad),
 		shifts:        shiftLimiter{maxShift: config.MaxShift},
 		roundTrips:    make(map[string]clock.Millis),
+		notices:       make(notices),
 	}
 }
 
@@ -103,11 +105,13 @@
 		listed[info.ID] = struct{}{}
 		b.upsertServer(now, info)
 	}
-	for id := range b.servers {
+	for id, s := range b.servers {
 		if _, ok := listed[id]; !ok {
+			b.notices.unlist(now, s.info.incarnation())
 			delete(b.servers, id)
 		}
 	}
+	b.notices.prune(now)
 	b.rebuildServices()
 	b.listReceived = b.listReceived || len(list) > 0
 }
@@ -115,7 +119,8 @@
 // upsertServer adds a server or updates its listed properties. A server with a
 // new start time or address starts with fresh state.
 func (b *Balancer) upsertServer(now clock.Millis, info Server) {
-	s, ok := b.servers[info.ID]
+	old, ok := b.servers[info.ID]
+	s := old
 	if !ok || s.info.StartUnixMs != info.StartUnixMs || s.info.Address != info.Address {
 		s = &serverState{
 			idHash:        xxhash.Sum64String(info.ID),
@@ -125,6 +130,13 @@
 			lastServed:    make(map[uint64]clock.Millis),
 			domainLoad:    b.domainLoadOf(info),
 		}
+		if ok {
+			b.notices.unlist(now, old.info.incarnation())
+		}
+		if known := b.notices[info.incarnation()]; known != nil {
+			known.unlisted = false
+			s.notice = known
+		}
 		s.coldTokens.updatedAt = now
 		s.coldUntil = now + info.ColdFor
 		if !b.listReceived && b.config.AssumeWarm {
@@ -202,16 +214,6 @@
 	}
 }
 
-// MarkDraining stops sending requests to a server that is known to have left.
-// It holds until the next call of SetServers, which restores the listed state.
-func (b *Balancer) MarkDraining(id string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if s, ok := b.servers[id]; ok {
-		s.info.Draining = true
-	}
-}
-
 // MaxConnections returns how many connections this instance may open to one
 // server of a service.
 func (b *Balancer) MaxConnections(service string) int {
--- a/placement/balancer_test.go
+++ b/placement/balancer_test.go
@@ -20,10 +20,15 @@
 // newTestBalancer returns a balancer of an instance in domain a1, with
 // perDomain servers in each failure domain.
 func newTestBalancer(perDomain int) *Balancer {
+	return newTestBalancerOf(testServers(perDomain))
+}
+
+// newTestBalancerOf is like newTestBalancer for the given servers.
+func newTestBalancerOf(list []Server) *Balancer {
 	b := NewBalancer(BalancerConfig{FailureDomain: "a1", Region: "a", Regions: []string{"a", "b"}, ColdOverage: 1.5, ColdSlack: 5})
 	b.SetServices(map[string]routing.Service{testService: {Name: testService, MaxConnections: 100, ColdStart: 3000, ColdRatePerS: 6}})
 	b.SetFleet(Fleet{Self: "i0", Members: []string{"i0", "i1", "i2"}})
-	b.SetServers(0, testServers(perDomain))
+	b.SetServers(0, list)
 	return b
 }
 
@@ -77,8 +82,8 @@
 			query:    func(q *Query) { q.Exclude = values.NewSet("a1-0", "a1-1") },
 			excluded: func(s Server) bool { return s.ID == "a1-0" || s.ID == "a1-1" },
 		},
-		"servers marked as draining": {
-			prepare:  func(b *Balancer) { b.MarkDraining("a1-2") },
+		"servers that said that they leave": {
+			prepare:  func(b *Balancer) { b.MarkLeaving(0, Departure{Incarnation: Incarnation{ID: "a1-2"}}) },
 			excluded: func(s Server) bool { return s.ID == "a1-2" },
 		},
 	}
@@ -119,7 +124,7 @@
 	}
 	before := newTestBalancer(4)
 	after := newTestBalancer(4)
-	after.MarkDraining("a1-0")
+	after.MarkLeaving(0, Departure{Incarnation: Incarnation{ID: "a1-0"}})
 	for object := uint64(1); object < 500; object++ {
 		old, current := place(before, object), place(after, object)
 		if old != "a1-0" && old != current {
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -101,6 +101,9 @@
 	noServerRetryAfter = 300 * clock.Millis(1)
 	// minRetryAfter is the shortest delay that refused callers are given.
 	minRetryAfter = 50 * clock.Millis(1)
+	// pauseSpreadDivisor is the part of a pause, as a divisor, over which the callers
+	// that were refused because of it are spread when it ends.
+	pauseSpreadDivisor = 4
 )
 
 // Choose assigns a request to the server with the shortest expected latency
@@ -111,6 +114,9 @@
 	candidates := b.candidates(now, q)
 	best := b.pick(now, q, candidates)
 	if best == nil {
+		if refusal := b.pauseRefusal(now, q); refusal != nil {
+			return nil, refusal
+		}
 		return nil, &Refusal{Reason: "no backend server of service " + q.Service + " may take the request", RetryAfter: noServerRetryAfter}
 	}
 	s := best.state
@@ -211,7 +217,7 @@
 	if s.info.Draining || b.evacuated.Has(s.info.FailureDomain) || !q.RegionAllowed(s.info.Region) {
 		return false
 	}
-	if q.Exclude.Has(s.info.ID) {
+	if q.Exclude.Has(s.info.ID) || s.notice.bars(now, s.inFlight, s.info.Slots) {
 		return false
 	}
 	if s.isCold(now) && !s.coldTokens.has(now, b.coldRate(s)) {
--- a/placement/crashes.go
+++ b/placement/crashes.go
@@ -24,6 +24,13 @@
 		quarantinedUntil map[Fingerprint]clock.Millis
 	}
 
+	// QuarantinedRequest is a request in quarantine.
+	QuarantinedRequest struct {
+		Fingerprint Fingerprint
+		// Age is how long ago the quarantine began.
+		Age clock.Millis
+	}
+
 	lostRequest struct {
 		fingerprint Fingerprint
 		at          clock.Millis
@@ -84,13 +91,13 @@
 	delete(c.lostResponses, server)
 }
 
-// Quarantine quarantines a request that a peer has reported. It does not extend
-// an existing quarantine.
-func (c *CrashTracker) Quarantine(now clock.Millis, f Fingerprint) {
+// Quarantine quarantines a request that a peer has reported, for what is left of its
+// quarantine. It does not extend an existing one.
+func (c *CrashTracker) Quarantine(now clock.Millis, q QuarantinedRequest) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if _, ok := c.quarantinedUntil[f]; !ok {
-		c.quarantinedUntil[f] = now + quarantineDuration
+	if _, ok := c.quarantinedUntil[q.Fingerprint]; !ok && q.Age < quarantineDuration {
+		c.quarantinedUntil[q.Fingerprint] = now + quarantineDuration - q.Age
 	}
 }
 
@@ -115,12 +122,17 @@
 }
 
 // Quarantined returns the requests in quarantine.
-func (c *CrashTracker) Quarantined() []Fingerprint {
+func (c *CrashTracker) Quarantined(now clock.Millis) []QuarantinedRequest {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	out := make([]Fingerprint, 0, len(c.quarantinedUntil))
-	for f := range c.quarantinedUntil {
-		out = append(out, f)
+	out := make([]QuarantinedRequest, 0, len(c.quarantinedUntil))
+	for f, until := range c.quarantinedUntil {
+		if now >= until {
+			delete(c.quarantinedUntil, f)
+			delete(c.crashCounts, f)
+			continue
+		}
+		out = append(out, QuarantinedRequest{Fingerprint: f, Age: quarantineDuration - (until - now)})
 	}
 	return out
 }
--- a/placement/crashes_test.go
+++ b/placement/crashes_test.go
@@ -41,8 +41,8 @@
 				c.RecordDown(100, server)
 			}
 		}, false},
-		"reported by a peer": {func(c *CrashTracker) { c.Quarantine(0, crashing) }, true},
-		"quarantine expired": {func(c *CrashTracker) { c.Quarantine(-quarantineDuration, crashing) }, false},
+		"reported by a peer": {func(c *CrashTracker) { c.Quarantine(0, QuarantinedRequest{Fingerprint: crashing}) }, true},
+		"quarantine expired": {func(c *CrashTracker) { c.Quarantine(-quarantineDuration, QuarantinedRequest{Fingerprint: crashing}) }, false},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -50,6 +50,9 @@
 	Canceled
 	// TimedOut means that no complete response was received in time.
 	TimedOut
+	// Withheld means that the request was no longer allowed to be sent once a
+	// connection was ready; nothing was sent.
+	Withheld
 )
 
 const (
@@ -79,6 +82,7 @@
 	ConnectionLimit: "busy",
 	Canceled:        "given_up",
 	TimedOut:        "overdue",
+	Withheld:        "withheld",
 }
 
 // String returns the outcome's name in logs and metrics.
@@ -113,7 +117,7 @@
 	case TimedOut:
 		s.updateLatencyFactor(c, max(c.baseLatency, now-c.sentAt))
 		s.domainLoad.record(now, b.loadAhead(c, now-c.sentAt))
-	case Canceled:
+	case Canceled, Withheld:
 	}
 }
 
--- a/placement/server.go
+++ b/placement/server.go
@@ -58,6 +58,9 @@
 		// listedAt is when the server was first listed.
 		listedAt clock.Millis
 
+		// notice is what the server has said of itself; nil if nothing.
+		notice *notice
+
 		// lastServed is when this instance last sent a request for each object.
 		lastServed map[uint64]clock.Millis
 	}
--- a/steering/attempt.go
+++ b/steering/attempt.go
@@ -42,6 +42,10 @@
 			h.giveUp(req, maybeRan, "the deadline has passed", 0)
 			return
 		}
+		if reason := h.revocation(req); reason != "" {
+			h.giveUp(req, maybeRan, reason, startupRetryAfter)
+			return
+		}
 		choice, refusal := h.config.Balancer.Choose(h.config.Clock.Now(), h.placementQuery(req, tried, left))
 		if refusal != nil {
 			h.giveUp(req, maybeRan, refusal.Reason, refusal.RetryAfter)
@@ -54,7 +58,7 @@
 		}
 		outcome := h.attempt(req, choice, left)
 		tried = tried.With(choice.Server.ID)
-		if outcome != placement.Unreachable && outcome != placement.ConnectionLimit {
+		if wasSent(outcome) {
 			sent++
 		}
 		maybeRan = maybeRan || mayHaveRun(outcome)
@@ -64,6 +68,11 @@
 	}
 }
 
+// wasSent reports whether any byte of the request may have reached the backend server.
+func wasSent(outcome placement.Outcome) bool {
+	return outcome != placement.Unreachable && outcome != placement.ConnectionLimit && outcome != placement.Withheld
+}
+
 // mayHaveRun reports whether the backend server may have executed the request.
 func mayHaveRun(outcome placement.Outcome) bool {
 	return outcome == placement.ResponseLost || outcome == placement.TimedOut || outcome == placement.Failed || outcome == placement.Canceled
@@ -115,7 +124,11 @@
 // and to the crash tracker.
 func (h *Handler) attempt(req *callerRequest, choice *placement.Choice, left clock.Millis) placement.Outcome {
 	req.exchange.Response.Reset()
-	outbound := &origin.Request{ID: req.id, Pin: choice.Server.ID, TimeLeft: left, Source: req.exchange.Request}
+	req.hold.Release()
+	outbound := &origin.Request{ID: req.id, Pin: choice.Server.ID, TimeLeft: left, Source: req.exchange.Request, Hold: req.hold}
+	outbound.MaySend = func() bool {
+		return h.config.Balancer.MaySend(h.config.Clock.Now(), choice) && h.revocation(req) == ""
+	}
 	if req.workspace != nil {
 		outbound.Workspace = req.workspace.Name
 	}
@@ -123,15 +136,36 @@
 	now := h.config.Clock.Now()
 	outcome := origin.OutcomeOf(info, req.exchange.Response.StatusCode(), err)
 	h.config.Balancer.Done(now, choice, placement.Result{Outcome: outcome, Load: info.Load, HasLoad: info.HasLoad})
+	h.recordNotice(req, choice.Server, info, now)
+	h.trackCrash(req, choice.Server.ID, outcome, now)
+	h.recordOutcome(req, choice, outcome, err)
+	return outcome
+}
+
+// recordNotice passes on to the balancer what the backend server has said of itself, and
+// logs what is new.
+func (h *Handler) recordNotice(req *callerRequest, server placement.Server, info origin.ResponseInfo, now clock.Millis) {
+	incarnation := placement.Incarnation{ID: server.ID, StartUnixMs: server.StartUnixMs}
 	if info.Misdirected {
-		h.config.Balancer.MarkDraining(choice.Server.ID)
+		h.config.Balancer.MarkGone(now, incarnation)
 	}
 	if info.ColdFor > 0 {
-		h.config.Balancer.MarkCold(now, choice.Server.ID, info.ColdFor)
+		h.config.Balancer.MarkCold(now, server.ID, info.ColdFor)
+	}
+	if info.Leaving && h.config.Balancer.MarkLeaving(now, placement.Departure{Incarnation: incarnation}) {
+		metrics.GetOrRegisterCounter("servers.leaving", h.config.Metrics).Inc(1)
+		h.config.Log.Info("backend server says that it leaves", "server", server.ID, "service", server.Service, "request", req.id)
+	}
+	if info.Pause.For > 0 && h.config.Balancer.Pause(now, incarnation, info.Pause.For) {
+		metrics.GetOrRegisterCounter("servers.pauses", h.config.Metrics).Inc(1)
+		h.config.Log.Info("backend server asks for a pause", "server", server.ID, "service", server.Service, "request", req.id,
+			"pause_ms", int64(info.Pause.For))
+	}
+	if info.Pause.Given != "" {
+		metrics.GetOrRegisterCounter("servers.odd_pauses", h.config.Metrics).Inc(1)
+		h.config.Log.Warn("backend server asks for a pause of an odd length", "server", server.ID, "request", req.id,
+			"given", info.Pause.Given, "pause_ms", int64(info.Pause.For))
 	}
-	h.trackCrash(req, choice.Server.ID, outcome, now)
-	h.recordOutcome(req, choice, outcome, err)
-	return outcome
 }
 
 // trackCrash tells the crash tracker whether a backend server responded, gave no response
--- a/steering/handler.go
+++ b/steering/handler.go
@@ -8,6 +8,7 @@
 
 	"github.com/bulrushferry/bulrushferry/clock"
 	"github.com/bulrushferry/bulrushferry/gateway"
+	"github.com/bulrushferry/bulrushferry/http1"
 	"github.com/bulrushferry/bulrushferry/origin"
 	"github.com/bulrushferry/bulrushferry/placement"
 	"github.com/bulrushferry/bulrushferry/routing"
@@ -36,6 +37,9 @@
 		RetryBudget  *RetryBudget
 		RateLimiter  Admitter
 		Crashes      *placement.CrashTracker
+		// Memory limits what the responses of backend servers hold; nil means no
+		// limit.
+		Memory *http1.Memory
 	}
 
 	// Handler authenticates and admits callers' requests and forwards them to
@@ -56,8 +60,12 @@
 		workspace   *routing.Workspace
 		service     string
 		affinityKey uint64
-		startedAt   clock.Millis
-		deadline    clock.Millis
+		// key is the caller's API key; empty where the route needs none.
+		key string
+		// hold is the memory that the response's body takes.
+		hold      *http1.Hold
+		startedAt clock.Millis
+		deadline  clock.Millis
 		// latencyLimit is the longest expected latency with which the request may
 		// wait for a free slot.
 		latencyLimit clock.Millis
@@ -94,7 +102,8 @@
 
 // Serve implements gateway.Handler.
 func (h *Handler) Serve(ctx context.Context, x *gateway.Exchange) {
-	req := &callerRequest{ctx: ctx, exchange: x, startedAt: h.config.Clock.Now()}
+	req := &callerRequest{ctx: ctx, exchange: x, startedAt: h.config.Clock.Now(), hold: h.config.Memory.Hold()}
+	x.OnEnd(req.hold.Release)
 	req.id = string(x.Request.Header.Peek(h.config.Headers.RequestID))
 	if !h.prepare(req) || !h.admit(req) {
 		return
@@ -145,9 +154,27 @@
 		return h.refuse(req, fasthttp.StatusUnauthorized, "the key is not known", 0)
 	}
 	req.workspace = workspace
+	req.key = key
 	return true
 }
 
+// revocation returns why this instance may no longer send a request that it has accepted,
+// or an empty string if it may. The request may have waited, or this process may have been
+// paused, since it was accepted.
+func (h *Handler) revocation(req *callerRequest) string {
+	if !h.config.ControlState.HasAuthority() {
+		return "this instance is cut off"
+	}
+	current := h.config.ControlState.Config()
+	if current == req.config || req.workspace == nil {
+		return ""
+	}
+	if workspace, ok := current.WorkspaceByKey(req.key); !ok || workspace.Name != req.workspace.Name {
+		return "the key was withdrawn while the request waited"
+	}
+	return ""
+}
+
 // timeLimit returns the total time for the request: the route's timeout or, if
 // shorter, the caller's deadline less responseMargin.
 func (h *Handler) timeLimit(req *callerRequest) clock.Millis {
--- a/steering/reload.go
+++ b/steering/reload.go
@@ -70,6 +70,7 @@
 // apply passes the settings to the components that hold copies of them.
 func (p process) apply(settings Settings) {
 	setMemoryLimit(settings)
+	p.Memory.SetLimit(responseMemory(settings))
 	p.Members.SetAuthorityTerm(settings.Bounds.Authority)
 	p.Balancer.SetColdLimits(settings.Bounds.ColdOverage, settings.Bounds.ColdSlack)
 	p.Balancer.SetMaxShift(settings.Bounds.MaxShift)
@@ -96,3 +97,12 @@
 		debug.SetMemoryLimit(int64(settings.MemoryMB) * mebibyte * memoryLimitPercent / 100)
 	}
 }
+
+// responseMemory returns how many bytes the bodies of backend servers' responses may hold
+// together.
+func responseMemory(settings Settings) int64 {
+	if settings.MemoryMB <= 0 {
+		return defaultResponseMemoryMB * mebibyte
+	}
+	return int64(settings.MemoryMB) * mebibyte * responseMemoryPercent / 100
+}
--- a/steering/run.go
+++ b/steering/run.go
@@ -15,6 +15,7 @@
 	"github.com/bulrushferry/bulrushferry/clock"
 	"github.com/bulrushferry/bulrushferry/fleet"
 	"github.com/bulrushferry/bulrushferry/gateway"
+	"github.com/bulrushferry/bulrushferry/http1"
 	"github.com/bulrushferry/bulrushferry/origin"
 	"github.com/bulrushferry/bulrushferry/peer"
 	"github.com/bulrushferry/bulrushferry/placement"
@@ -41,6 +42,7 @@
 	Transport    *peer.Transport
 	RateLimiter  *RateLimiter
 	Pool         *origin.Pool
+	Memory       *http1.Memory
 	Handler      *Handler
 	Gateway      *gateway.Server
 }
@@ -61,7 +63,13 @@
 	// memoryLimitPercent is the percentage of the instance's memory limit that is set
 	// as the garbage collector's soft limit.
 	memoryLimitPercent = 70
-	mebibyte           = 1 << 20
+	// responseMemoryPercent is the percentage of the instance's memory limit that the
+	// bodies of backend servers' responses may hold together. Buffers that grow take up
+	// to twice as much for a moment.
+	responseMemoryPercent = 15
+	// defaultResponseMemoryMB replaces that share where the instance has no limit.
+	defaultResponseMemoryMB = 128
+	mebibyte                = 1 << 20
 	// logFlushTime is the time allowed for writing the last log lines before the
 	// process exits.
 	logFlushTime = 20 * time.Millisecond
@@ -153,12 +161,18 @@
 		p.RateLimiter.SyncBuckets(p.ControlState.RateLimitedWorkspaces())
 		if time.Since(prunedAt) > pruneInterval {
 			prunedAt = time.Now()
-			p.Pool.Prune(p.ControlState.InUse)
+			p.Pool.Prune(p.takesRequests)
 		}
 		clock.Sleep(ctx, refreshInterval)
 	}
 }
 
+// takesRequests reports whether a backend server is listed or retained and has not said
+// that it leaves.
+func (p process) takesRequests(server string) bool {
+	return p.ControlState.InUse(server) && !p.Balancer.IsLeaving(server)
+}
+
 // shutDown shuts the instance down gracefully: it tells peers that it is stopping, so that
 // callers are directed to other instances, and closes callers' connections after their next
 // response. Later it refuses new requests and waits until all connections have ended.
--- a/steering/wiring.go
+++ b/steering/wiring.go
@@ -8,6 +8,7 @@
 	"github.com/bulrushferry/bulrushferry/clock"
 	"github.com/bulrushferry/bulrushferry/fleet"
 	"github.com/bulrushferry/bulrushferry/gateway"
+	"github.com/bulrushferry/bulrushferry/http1"
 	"github.com/bulrushferry/bulrushferry/origin"
 	"github.com/bulrushferry/bulrushferry/peer"
 	"github.com/bulrushferry/bulrushferry/placement"
@@ -43,6 +44,7 @@
 		newTransport,
 		newGossip,
 		newRateLimiter,
+		newMemory,
 		newPool,
 		newRetryBudget,
 		newRequestHandler,
@@ -122,7 +124,7 @@
 	return peer.NewTransport(peer.TransportConfig{Address: s.PeerAddress, TLS: tls, Log: log.Named("peer"), CloseIdle: true})
 }
 
-func newGossip(state *ControlState, members *fleet.Members, network *peer.Transport, c clock.Clock, crashes *placement.CrashTracker, log hclog.Logger) *fleet.Gossip {
+func newGossip(state *ControlState, members *fleet.Members, network *peer.Transport, c clock.Clock, crashes *placement.CrashTracker, balancer *placement.Balancer, log hclog.Logger, registry metrics.Registry) *fleet.Gossip {
 	g := fleet.NewGossip(fleet.GossipConfig{
 		Clock:         clock.BootTime{},
 		Log:           log.Named("gossip"),
@@ -130,14 +132,7 @@
 		Members:       members,
 		Tables:        []*fleet.Replica{state.Rules, state.Servers},
 		OnPeerRestart: network.Disconnect,
-		CrashingRequests: func() []uint64 {
-			var out []uint64
-			for _, f := range crashes.Quarantined() {
-				out = append(out, uint64(f))
-			}
-			return out
-		},
-		Quarantine: func(f uint64) { crashes.Quarantine(c.Now(), placement.Fingerprint(f)) },
+		Clues:         &clues{clock: c, crashes: crashes, balancer: balancer, log: log, registry: registry},
 	})
 	state.OnRulesChange(g.NotifyNeighbors)
 	return g
@@ -165,11 +160,15 @@
 	})
 }
 
+func newMemory(s Settings) *http1.Memory {
+	return http1.NewMemory(responseMemory(s))
+}
+
 func newRetryBudget(l *liveSettings, m *membership) *RetryBudget {
 	return NewRetryBudget(RetryBudgetConfig{Bounds: func() Bounds { return l.get().Bounds }, InstanceCount: m.shareHolderCount})
 }
 
-func newRequestHandler(adapter Adapter, c clock.Clock, log hclog.Logger, registry metrics.Registry, state *ControlState, balancer *placement.Balancer, pool *origin.Pool, budget *RetryBudget, limiter *RateLimiter, crashes *placement.CrashTracker) *Handler {
+func newRequestHandler(adapter Adapter, c clock.Clock, log hclog.Logger, registry metrics.Registry, state *ControlState, balancer *placement.Balancer, pool *origin.Pool, budget *RetryBudget, limiter *RateLimiter, crashes *placement.CrashTracker, memory *http1.Memory) *Handler {
 	return NewHandler(HandlerConfig{
 		Clock:        c,
 		Log:          log.Named("request"),
@@ -181,6 +180,7 @@
 		RetryBudget:  budget,
 		RateLimiter:  limiter,
 		Crashes:      crashes,
+		Memory:       memory,
 	})
 }
 
