Adapt the fanout by region, give unused tokens back, and say why there was no room

The fanout was one number for the whole service: refusals there raised it to 4 for all, and the misses there were not counted, as servers with a latency factor over 1.6 teach nothing. Change: the fanout belongs to a service and a region, and grows only while a server of the region has room; where none has, it shrinks. A request that is refused within half a second of its admission and was not run gives its token back. The log line of a refusal carries the estimate that decided it; refusals.needless counts those beside a free slot.

--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -50,13 +50,16 @@
 		memberHashes  []uint64
 		selfHash      uint64
 		latencyModels map[string]*latencyModel
-		fanouts       map[string]*fanout
+		fanouts       map[fanoutKey]*fanout
 		shifts        shiftLimiter
 		// domainLoads is keyed by service and failure domain.
-		domainLoads  map[string]*domainLoad
-		roundTrips   map[string]clock.Millis
-		notices      notices
-		listReceived bool
+		domainLoads map[string]*domainLoad
+		roundTrips  map[string]clock.Millis
+		notices     notices
+		// overloads is keyed by service.
+		overloads        map[string]*overload
+		needlessRefusals int
+		listReceived     bool
 	}
 
 	// Fleet lists the instances that share the servers' limits.
@@ -87,11 +90,12 @@
 		servers:       make(map[string]*serverState),
 		services:      make(map[string]*serviceServers),
 		latencyModels: make(map[string]*latencyModel),
-		fanouts:       make(map[string]*fanout),
+		fanouts:       make(map[fanoutKey]*fanout),
 		domainLoads:   make(map[string]*domainLoad),
 		shifts:        shiftLimiter{maxShift: config.MaxShift},
 		roundTrips:    make(map[string]clock.Millis),
 		notices:       make(notices),
+		overloads:     make(map[string]*overload),
 	}
 }
 
--- a/placement/balancer_test.go
+++ b/placement/balancer_test.go
@@ -210,7 +210,9 @@
 	for object := range uint64(100) {
 		balancer.warmUp(t, object)
 	}
-	balancer.fanoutOf(10, testService).count = serversPerRegion
+	for _, region := range []string{"a", "b"} {
+		balancer.fanoutOf(10, testService, region).count = serversPerRegion
+	}
 	region := ""
 	for n := range 2 * 2 * testSlots {
 		choice, refusal := balancer.Choose(10, testQuery(7))
--- a/placement/candidates.go
+++ b/placement/candidates.go
@@ -9,6 +9,7 @@
 // regionCandidates holds the highest-ranked servers of one region for an
 // object.
 type regionCandidates struct {
+	name  string
 	score float64
 	best  [serversPerRegion]candidate
 	count int
@@ -31,7 +32,7 @@
 		if !q.RegionAllowed(region.name) {
 			continue
 		}
-		candidates := regionCandidates{score: service.plan.score(object, region.name, region.hash)}
+		candidates := regionCandidates{name: region.name, score: service.plan.score(object, region.name, region.hash)}
 		for _, server := range region.servers {
 			if b.usable(now, q, server, strict) {
 				candidates.insert(candidate{state: server, score: mixHashes(object, server.idHash)})
@@ -42,7 +43,10 @@
 		}
 	}
 	sort.Slice(regions, func(i, j int) bool { return regions[i].score > regions[j].score })
-	return selectCandidates(regions, b.fanoutOf(now, q.Service).count)
+	if len(regions) == 0 {
+		return nil
+	}
+	return selectCandidates(regions, b.fanoutOf(now, q.Service, regions[0].name).count)
 }
 
 // selectCandidates keeps at most the given number of servers: up to two of the
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -52,13 +52,8 @@
 		servedRecently bool
 		baseLatency    clock.Millis
 		sentAt         clock.Millis
-	}
-
-	// Refusal explains why no server was chosen.
-	Refusal struct {
-		Reason string
-		// RetryAfter is when the caller should try again.
-		RetryAfter clock.Millis
+		// fanout is that of the request's object.
+		fanout *fanout
 	}
 
 	// candidate is a server under consideration and its estimated latency.
@@ -121,11 +116,13 @@
 	}
 	s := best.state
 	if best.latency > q.TimeLeft || (best.queueTime > 0 && !best.fewSamples && best.latency > q.LatencyLimit) {
-		b.fanoutOf(now, q.Service).refused = true
+		b.recordRefusal(now, q, candidates[0].state.info.Region)
+		b.recordOverload(now, q.Service)
 		excess := best.latency - min(q.TimeLeft, q.LatencyLimit)
 		return nil, &Refusal{
 			Reason:     "the backend servers of service " + q.Service + " have no room in time",
 			RetryAfter: max(excess, minRetryAfter) + clock.Millis(b.config.Random.IntN(retryJitterMs)),
+			Best:       b.estimateOf(now, q, best, candidates),
 		}
 	}
 	cold := s.isCold(now)
@@ -144,6 +141,7 @@
 		sentAt:          now,
 		baseLatency:     best.baseLatency,
 		uncontended:     s.load(now) < s.info.Slots && !cold,
+		fanout:          b.fanoutOf(now, q.Service, candidates[0].state.info.Region),
 	}
 	b.shifts.record(now, s.info.Region != candidates[0].state.info.Region)
 	s.inFlight++
@@ -257,18 +255,6 @@
 	}
 }
 
-// fanoutOf returns the fanout of a service's objects, adjusted to the present
-// time.
-func (b *Balancer) fanoutOf(now clock.Millis, service string) *fanout {
-	f, ok := b.fanouts[service]
-	if !ok {
-		f = newFanout(now)
-		b.fanouts[service] = f
-	}
-	f.adjust(now)
-	return f
-}
-
 // latencyModelOf returns the learned latencies of a query's route.
 func (b *Balancer) latencyModelOf(q Query) *latencyModel {
 	m, ok := b.latencyModels[q.Route]
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -98,6 +98,7 @@
 	s.inFlight--
 	if result.HasLoad {
 		s.recordLoad(now, result.Load)
+		b.recordFreeSlot(now, s, result.Load)
 	}
 	switch result.Outcome {
 	case Answered:
@@ -132,7 +133,7 @@
 	}
 	model := b.latencyModelOf(c.query)
 	if c.servedRecently {
-		b.fanoutOf(c.sentAt, c.query.Service).recordWarmRequest(took > (model.warm.value()+model.cold.value())/2)
+		c.fanout.recordWarmRequest(took > (model.warm.value()+model.cold.value())/2)
 	}
 	if c.warm {
 		model.warm.add(took)
--- a/placement/shift_test.go
+++ b/placement/shift_test.go
@@ -85,7 +85,9 @@
 			for seed := range uint64(20) {
 				balancer := newTestBalancer(4)
 				balancer.SetMaxShift(c.bound)
-				balancer.fanoutOf(0, testService).count = maxFanout
+				for _, region := range []string{"a", "b"} {
+					balancer.fanoutOf(0, testService, region).count = maxFanout
+				}
 				peak := &loadPeak{balancer: balancer, random: rand.New(rand.NewPCG(1, seed)), running: make(map[clock.Millis][]*Choice)}
 				shares := peak.run()
 				worst := 0.0
--- a/quota/token_cache.go
+++ b/quota/token_cache.go
@@ -41,6 +41,11 @@
 	return true
 }
 
+// Refund puts back the token of a request that was not run.
+func (c *TokenCache) Refund() {
+	c.tokens++
+}
+
 // IsExhausted reports whether there is no token and the owner has none yet
 // either.
 func (c *TokenCache) IsExhausted(now clock.Millis) bool {
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -67,9 +67,11 @@
 
 		// restartMu serializes restarts, so that an instance has one process at a time.
 		restartMu sync.Mutex
-		// mu guards cmd.
-		mu  sync.Mutex
-		cmd *exec.Cmd
+		// mu guards the fields below. disturbedAt is when the process was last stopped,
+		// started, frozen or woken.
+		mu          sync.Mutex
+		cmd         *exec.Cmd
+		disturbedAt time.Time
 	}
 )
 
@@ -128,6 +130,7 @@
 		d := spec.domains[i%len(spec.domains)]
 		b := startServer(t, fmt.Sprintf("i-%d", i), d.name, f.requestLog)
 		b.hidesLoad, b.storeAvailableTime = spec.hidesLoad, f.store.availableTime
+		b.notices = newServerNotices(f.disturbedSince)
 		b.serviceTime = cmp.Or(spec.serviceTime, defaultServiceTime)
 		f.servers = append(f.servers, b)
 		f.store.put("servers", b.id, b.row("ready", 1))
@@ -272,6 +275,8 @@
 func (in *instance) restart(t *testing.T, s syscall.Signal, down time.Duration) {
 	in.restartMu.Lock()
 	defer in.restartMu.Unlock()
+	in.markDisturbed()
+	defer in.markDisturbed()
 	in.signal(s)
 	in.mu.Lock()
 	cmd := in.cmd
--- a/soak/load_test.go
+++ b/soak/load_test.go
@@ -107,8 +107,8 @@
 		}
 		_ = conn.SetDeadline(time.Now().Add(requestDeadline + time.Second))
 		_, err := fmt.Fprintf(conn, "POST %s%d HTTP/1.1\r\nHost: a.example\r\nX-Bulrushferry-Request-Id: %s\r\nX-Bulrushferry-Deadline-Ms: %d\r\n"+
-			"X-Bulrushferry-Credential: key-%s\r\nCookie: X-Bulrushferry-Affinity-Key=%d\r\nContent-Length: 4\r\n\r\nbody",
-			path, call, r.id, requestDeadline.Milliseconds(), workspace, random.IntN(30))
+			"X-Bulrushferry-Credential: key-%s\r\nCookie: X-Bulrushferry-Affinity-Key=%d\r\n%s: %s\r\nContent-Length: 4\r\n\r\nbody",
+			path, call, r.id, requestDeadline.Milliseconds(), workspace, random.IntN(30), viaHeader, conn.RemoteAddr())
 		var response fasthttp.Response
 		if err == nil {
 			err = response.Read(reader)
--- a/soak/server_test.go
+++ b/soak/server_test.go
@@ -34,6 +34,7 @@
 		domain     string
 		requestLog *requestLog
 		slots      chan struct{}
+		notices    *serverNotices
 		// hidesLoad omits the load report from responses.
 		hidesLoad bool
 		// serviceTime is how long a request runs.
@@ -139,7 +140,12 @@
 		if err := request.Read(reader); err != nil {
 			return
 		}
-		if _, err := c.Write([]byte(b.respond(&request))); err != nil {
+		text := b.respond(&request)
+		if b.notices.isEndless() {
+			sendEndlessly(c, string(request.Header.Peek("X-Bulrushferry-Request-Id")))
+			return
+		}
+		if _, err := c.Write([]byte(text)); err != nil {
 			return
 		}
 	}
@@ -152,11 +158,16 @@
 	if pin := string(request.Header.Peek("X-Bulrushferry-Instance-Pin")); pin != b.id {
 		return fmt.Sprintf("HTTP/1.1 421 Misdirected\r\nX-Bulrushferry-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", b.id)
 	}
+	notice, turnedAway := b.notices.receive(string(request.Header.Peek(viaHeader)))
+	declined := "HTTP/1.1 503 Full\r\nX-Bulrushferry-Request-Id: " + id + "\r\nX-Bulrushferry-Not-Executed: 1\r\n" + notice + "Content-Length: 0\r\n\r\n"
+	if turnedAway {
+		return declined
+	}
 	select {
 	case b.slots <- struct{}{}:
 		defer func() { <-b.slots }()
 	default:
-		return "HTTP/1.1 503 Full\r\nX-Bulrushferry-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+		return declined
 	}
 	b.mu.Lock()
 	late := !b.drainingSince.IsZero() && b.storeAvailableTime(b.drainingSince, time.Now()) > maxDrainingDelay
@@ -164,9 +175,9 @@
 	b.requestLog.record(id, string(request.Header.Peek("X-Bulrushferry-Tenant")), len(request.Header.Peek("X-Bulrushferry-Credential")) > 0, late)
 	time.Sleep(b.serviceTime)
 	body := "ran " + id
-	load := ""
+	load := notice
 	if !b.hidesLoad {
-		load = fmt.Sprintf("X-Bulrushferry-Server-Load: %d,0,%d\r\n", len(b.slots), serverSlots)
+		load += fmt.Sprintf("X-Bulrushferry-Server-Load: %d,0,%d\r\n", len(b.slots), serverSlots)
 	}
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Bulrushferry-Request-Id: %s\r\nX-Bulrushferry-Response-Signature: %s\r\n%sContent-Length: %s\r\n\r\n%s",
 		id, b.id, load, strconv.Itoa(len(body)), body)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -52,9 +52,11 @@
 	},
 	"freeze": func(f *fleet, random *rand.Rand, span time.Duration) {
 		in := f.randomInstance(random)
+		in.markDisturbed()
 		in.signal(syscall.SIGSTOP)
 		time.Sleep(span)
 		in.signal(syscall.SIGCONT)
+		in.markDisturbed()
 	},
 	"hang up": func(f *fleet, random *rand.Rand, _ time.Duration) {
 		f.randomInstance(random).signal(syscall.SIGHUP)
@@ -121,13 +123,19 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
 	group.Go(func() { load.run(ctx, seed) })
-	f.injectFaults(t, random, *durationFlag, load)
+	f.injectFaults(t, random, faultsOf(seed), *durationFlag, load)
 	time.Sleep(recoveryTime)
 	recovered := time.Now()
 	time.Sleep(2 * time.Second)
 	cancel()
 	group.Wait()
 	violations := load.violations(f.requestLog)
+	for _, b := range f.servers {
+		violations = append(violations, b.notices.violations(b.id)...)
+	}
+	for _, name := range f.endedInstances() {
+		violations = append(violations, name+" ended by itself")
+	}
 	sent, ok := load.countServed(recovered)
 	if sent == 0 || ok*100 < sent*95 {
 		violations = append(violations, fmt.Sprintf("%d of %d requests were answered with 200 after the recovery", ok, sent))
@@ -142,15 +150,21 @@
 	}
 }
 
+// faultsOf returns the faults among which a seed chooses. Those that failed before choose
+// among the faults of that time.
+func faultsOf(seed uint64) map[string]fault {
+	all := maps.Clone(faults)
+	if _, failed := failedSeeds[seed]; !failed {
+		maps.Copy(all, noticeFaults)
+	}
+	return all
+}
+
 // injectFaults runs rounds of one or two concurrent random faults until the time span is
 // over. During the first round that starts after a third of it, a key is withdrawn and a
 // server is drained.
-func (f *fleet) injectFaults(t *testing.T, random *rand.Rand, span time.Duration, load *loadGenerator) {
-	names := make([]string, 0, len(faults))
-	for name := range faults {
-		names = append(names, name)
-	}
-	slices.Sort(names)
+func (f *fleet) injectFaults(t *testing.T, random *rand.Rand, faults map[string]fault, span time.Duration, load *loadGenerator) {
+	names := slices.Sorted(maps.Keys(faults))
 	startedAt, changesMade := time.Now(), false
 	for time.Since(startedAt) < span {
 		var group sync.WaitGroup
--- a/steering/attempt.go
+++ b/steering/attempt.go
@@ -1,6 +1,7 @@
 package steering
 
 import (
+	"math"
 	"strconv"
 
 	"github.com/bulrushferry/bulrushferry/clock"
@@ -48,7 +49,7 @@
 		}
 		choice, refusal := h.config.Balancer.Choose(h.config.Clock.Now(), h.placementQuery(req, tried, left))
 		if refusal != nil {
-			h.giveUp(req, maybeRan, refusal.Reason, refusal.RetryAfter)
+			h.giveUp(req, maybeRan, refusal.Reason, refusal.RetryAfter, refusalFields(refusal)...)
 			return
 		}
 		if sent > 0 && !h.config.RetryBudget.TryWithdraw(req.service) {
@@ -217,13 +218,28 @@
 // giveUp ends a request for which no further attempt is made. It responds with 503 only
 // if no backend server can have run the request. Otherwise it keeps the response of the
 // last attempt if that is a signed 5xx, or else responds with 502.
-func (h *Handler) giveUp(req *callerRequest, maybeRan bool, reason string, retryAfter clock.Millis) {
+func (h *Handler) giveUp(req *callerRequest, maybeRan bool, reason string, retryAfter clock.Millis, fields ...any) {
 	if !maybeRan {
-		h.refuse(req, fasthttp.StatusServiceUnavailable, reason, retryAfter)
+		h.refund(req)
+		h.refuse(req, fasthttp.StatusServiceUnavailable, reason, retryAfter, fields...)
 		return
 	}
 	if req.exchange.Response.StatusCode() >= fasthttp.StatusInternalServerError && len(req.exchange.Response.Header.Peek(h.config.Headers.Signature)) > 0 {
 		return
 	}
-	h.refuse(req, fasthttp.StatusBadGateway, reason, 0)
+	h.refuse(req, fasthttp.StatusBadGateway, reason, 0, fields...)
+}
+
+// refusalFields returns the log fields that say what a refusal was based on.
+func refusalFields(refusal *placement.Refusal) []any {
+	best := refusal.Best
+	if best == nil {
+		return nil
+	}
+	return []any{
+		"server", best.Server, "candidates", best.Candidates, "fanout", best.Fanout, "expected_ms", int64(best.Latency),
+		"limit_ms", int64(best.Limit), "base_ms", int64(best.BaseLatency), "queue_ms", int64(best.QueueTime),
+		"factor", math.Round(best.LatencyFactor*100) / 100, "in_flight", best.InFlight, "load", best.Load, "slots", best.Slots,
+		"report_age_ms", int64(best.ReportAge), "warm", best.Warm, "cold", best.Cold,
+	}
 }
--- a/steering/handler.go
+++ b/steering/handler.go
@@ -23,6 +23,9 @@
 	Admitter interface {
 		// Admit takes a token for one request and reports whether it got one.
 		Admit(ctx context.Context, workspace string) bool
+		// Refund gives the token of a request back that was admitted a moment ago
+		// and not run.
+		Refund(workspace string)
 	}
 
 	// HandlerConfig configures a Handler.
@@ -62,6 +65,8 @@
 		affinityKey uint64
 		// key is the caller's API key; empty where the route needs none.
 		key string
+		// admittedAt is when a token was taken for the request; zero if none was.
+		admittedAt clock.Millis
 		// hold is the memory that the response's body takes.
 		hold      *http1.Hold
 		startedAt clock.Millis
@@ -85,6 +90,9 @@
 	// retryAfterDivisor limits Retry-After to a third of the time left until the
 	// request's deadline.
 	retryAfterDivisor = 3
+	// refundTime is how long after its admission a request that was not run gives its
+	// token back.
+	refundTime = 500 * clock.Millis(1)
 	// defaultTimeout applies to routes without a timeout.
 	defaultTimeout = 30 * clock.Second
 )
@@ -233,12 +241,22 @@
 	if !h.config.RateLimiter.Admit(req.ctx, req.workspace.Name) {
 		return h.refuse(req, fasthttp.StatusTooManyRequests, "workspace "+req.workspace.Name+" is over its rate", rateLimitRetryAfter)
 	}
+	req.admittedAt = h.config.Clock.Now()
 	return true
 }
 
+// refund gives back the token of a request that was not run. Later than refundTime the
+// workspace's bucket has filled up meanwhile, and the token would come on top.
+func (h *Handler) refund(req *callerRequest) {
+	if req.admittedAt > 0 && h.config.Clock.Now()-req.admittedAt < refundTime {
+		h.config.RateLimiter.Refund(req.workspace.Name)
+	}
+}
+
 // refuse sets an error response and logs it. A 503 or 429 carries a Retry-After that is
-// limited by the time left until the deadline. It always returns false.
-func (h *Handler) refuse(req *callerRequest, status int, reason string, retryAfter clock.Millis) bool {
+// limited by the time left until the deadline. The fields are added to the log line. It
+// always returns false.
+func (h *Handler) refuse(req *callerRequest, status int, reason string, retryAfter clock.Millis, fields ...any) bool {
 	gateway.SetErrorResponse(req.exchange.Response, status, reason)
 	if req.id != "" {
 		req.exchange.Response.Header.Set(h.config.Headers.RequestID, req.id)
@@ -255,7 +273,8 @@
 	if req.config != nil {
 		version = req.config.Version
 	}
-	h.config.Log.Info("request refused", "request", req.id, "status", status, "reason", reason,
-		"config", version, "retry_after_ms", int64(retryAfter), "held_ms", int64(now-req.startedAt))
+	fields = append([]any{"request", req.id, "status", status, "reason", reason, "config", version,
+		"retry_after_ms", int64(retryAfter), "held_ms", int64(now - req.startedAt)}, fields...)
+	h.config.Log.Info("request refused", fields...)
 	return false
 }
--- a/steering/rate_limiter.go
+++ b/steering/rate_limiter.go
@@ -112,6 +112,18 @@
 	return tokens.Spend() || r.takeFallback(workspace, tokens)
 }
 
+// Refund implements Admitter.
+func (r *RateLimiter) Refund(workspace string) {
+	now := r.config.Clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.ownsBucket(workspace) {
+		r.bucket(now, workspace).Return(now, 1)
+		return
+	}
+	r.tokensOf(workspace).Refund()
+}
+
 // takeFallback takes a token from the fallback bucket if an exchange failed within the
 // last fallbackPeriod. The caller must hold the lock.
 func (r *RateLimiter) takeFallback(workspace string, tokens *workspaceTokens) bool {
--- a/steering/run.go
+++ b/steering/run.go
@@ -158,6 +158,7 @@
 		p.Members.SetReady(p.isReady())
 		p.Membership.refresh()
 		p.ControlState.DetectOutage()
+		metrics.GetOrRegisterCounter("refusals.needless", p.Metrics).Inc(int64(p.Balancer.TakeNeedlessRefusals()))
 		p.RateLimiter.SyncBuckets(p.ControlState.RateLimitedWorkspaces())
 		if time.Since(prunedAt) > pruneInterval {
 			prunedAt = time.Now()
--- a/steering/steering_test.go
+++ b/steering/steering_test.go
@@ -236,6 +236,33 @@
 	}
 }
 
+// TestRefund checks that the tokens of requests that were not run can be used again, at
+// the bucket's owner and elsewhere, and that they never exceed the burst.
+func TestRefund(t *testing.T) {
+	other, network := newTestRateLimiters()
+	for name, limiter := range map[string]*RateLimiter{"owner": network.owner, "other": other} {
+		t.Run(name, func(t *testing.T) {
+			admitted := 0
+			for range 500 {
+				if limiter.Admit(context.Background(), "w") {
+					admitted++
+					limiter.Refund("w")
+				}
+			}
+			if admitted < 490 {
+				t.Errorf("%d of 500 requests were admitted that each gave their token back", admitted)
+			}
+		})
+	}
+	spent := 0
+	for network.owner.Admit(context.Background(), "w") {
+		spent++
+	}
+	if spent > 101 {
+		t.Errorf("%d requests at once after the refunds, the burst is 100", spent)
+	}
+}
+
 // TestUrgentRequestsWaitLonger checks that more urgent requests may wait longer for a free
 // slot, so that less urgent ones are refused first under load, and that the priority of a
 // workspace takes precedence over that of a route.
