Let every belief about a server end in calm

Cause: some beliefs are learned only from requests that are sent and decided that none was: after a lost answer or a refused connection a server got idempotent requests only, so a service whose requests all run once lost that server for good; a high latency factor stayed while nothing was sent; a request that was expected to take longer than its time was refused also beside free servers, and the expectation was never tried again. Change: a request that runs once may be the first after failures, half a second later than others and alone; the latency factor returns to one when a server has had no request for 1.5 s; one request of a route a second is sent although it is expected to take too long at a free server; back-off ends after 2 s at most and the failure rate fades with 2 s. Before: TestBeliefsEndInCalm (any outcomes, then calm: after 3 s every server is used and nothing refused beside free slots) finds a server that is never used again. After: it holds in three runs of 400 checks.

--- a/placement/choose.go
+++ b/placement/choose.go
@@ -96,6 +96,9 @@
 	noServerRetryAfter = 300 * clock.Millis(1)
 	// minRetryAfter is the shortest delay that refused callers are given.
 	minRetryAfter = 50 * clock.Millis(1)
+	// probeInterval is the interval of the requests of a route that are sent although
+	// they are expected to take too long at a server with a free slot.
+	probeInterval = clock.Second
 	// pauseSpreadDivisor is the part of a pause, as a divisor, over which the callers
 	// that were refused because of it are spread when it ends.
 	pauseSpreadDivisor = 4
@@ -115,7 +118,7 @@
 		return nil, &Refusal{Reason: "no backend server of service " + q.Service + " may take the request", RetryAfter: noServerRetryAfter}
 	}
 	s := best.state
-	if best.latency > q.TimeLeft || (best.queueTime > 0 && !best.fewSamples && best.latency > q.LatencyLimit) {
+	if !b.isInTime(now, q, best) {
 		b.recordRefusal(now, q, candidates[0].state.info.Region)
 		b.recordOverload(now, q.Service)
 		excess := best.latency - min(q.TimeLeft, q.LatencyLimit)
@@ -151,6 +154,24 @@
 	return choice, nil
 }
 
+// isInTime reports whether a request is worth sending to a candidate. One that need not
+// wait is refused only if the learned latencies exceed its time. They are learned from
+// requests that are sent, so one in each probeInterval is sent nevertheless.
+func (b *Balancer) isInTime(now clock.Millis, q Query, c *candidate) bool {
+	if c.queueTime > 0 {
+		return c.latency <= q.TimeLeft && (c.fewSamples || c.latency <= q.LatencyLimit)
+	}
+	if c.latency <= q.TimeLeft {
+		return true
+	}
+	model := b.latencyModelOf(q)
+	if now-model.probedAt < probeInterval {
+		return false
+	}
+	model.probedAt = now
+	return true
+}
+
 // pick selects a candidate within the bound on the share of shifted requests. It
 // returns nil if there is none.
 func (b *Balancer) pick(now clock.Millis, q Query, candidates []candidate) *candidate {
@@ -224,7 +245,7 @@
 	if !strict {
 		return s.consecutiveFailures == 0 || now >= s.backoffUntil
 	}
-	if s.consecutiveFailures > 0 && (now < s.backoffUntil || s.inFlight > 0 || !q.Idempotent) {
+	if s.consecutiveFailures > 0 && !s.mayProbe(now, q.Idempotent) {
 		return false
 	}
 	return s.currentFailureRate(now) < maxFailureRate
@@ -246,9 +267,10 @@
 	}
 	waiting := max(0, s.load(now)+1-s.info.Slots)
 	wait := clock.Millis(waiting) * model.overall.value() / clock.Millis(max(s.info.Slots, 1))
+	factor := s.currentLatencyFactor(now)
 	c.baseLatency = work + wait
-	c.queueTime = clock.Millis(float64(wait) * s.latencyFactor)
-	c.latency = clock.Millis(float64(c.baseLatency)*s.latencyFactor) + b.roundTrips[s.info.Region]
+	c.queueTime = clock.Millis(float64(wait) * factor)
+	c.latency = clock.Millis(float64(c.baseLatency)*factor) + b.roundTrips[s.info.Region]
 	if s.isFull(now) {
 		c.latency += declinePenalty
 		c.queueTime += declinePenalty
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -21,6 +21,9 @@
 		warm    movingAverage
 		cold    movingAverage
 		overall movingAverage
+		// probedAt is when a request was last sent although these latencies exceed
+		// its time.
+		probedAt clock.Millis
 	}
 
 	// movingAverage is a moving average of latencies that starts from an
@@ -116,7 +119,7 @@
 	case ResponseLost, Unreachable:
 		s.recordFailure(now)
 	case TimedOut:
-		s.updateLatencyFactor(c, max(c.baseLatency, now-c.sentAt))
+		s.updateLatencyFactor(now, c, max(c.baseLatency, now-c.sentAt))
 		s.domainLoad.record(now, b.loadAhead(c, now-c.sentAt))
 	case Canceled, Withheld:
 	}
@@ -126,8 +129,9 @@
 // requests that did not have to wait for a slot at a warm server update the
 // latency model.
 func (b *Balancer) learn(c *Choice, took clock.Millis) {
+	now := c.sentAt + took
 	took = max(1, took-b.roundTrips[c.Server.Region])
-	c.state.updateLatencyFactor(c, took)
+	c.state.updateLatencyFactor(now, c, took)
 	if !c.uncontended || c.state.latencyFactor > maxLearningFactor {
 		return
 	}
@@ -151,9 +155,11 @@
 
 // updateLatencyFactor moves a server's latency factor towards the ratio of
 // actual to expected latency of a request.
-func (s *serverState) updateLatencyFactor(c *Choice, took clock.Millis) {
+func (s *serverState) updateLatencyFactor(now clock.Millis, c *Choice, took clock.Millis) {
 	ratio := float64(took) / float64(max(c.baseLatency, 1))
-	s.latencyFactor = min(max(ewma(s.latencyFactor, ratio, latencyFactorWeight), minLatencyFactor), maxLatencyFactor)
+	factor := ewma(s.currentLatencyFactor(now), ratio, latencyFactorWeight)
+	s.latencyFactor = min(max(factor, minLatencyFactor), maxLatencyFactor)
+	s.latencyFactorAt = now
 }
 
 // SetRoundTrip records the network round-trip time to a region.
--- a/placement/refusal.go
+++ b/placement/refusal.go
@@ -60,7 +60,7 @@
 		Limit:         min(q.TimeLeft, q.LatencyLimit),
 		BaseLatency:   c.baseLatency,
 		QueueTime:     c.queueTime,
-		LatencyFactor: s.latencyFactor,
+		LatencyFactor: s.currentLatencyFactor(now),
 		InFlight:      s.inFlight,
 		Load:          s.load(now),
 		Slots:         s.info.Slots,
--- a/placement/server.go
+++ b/placement/server.go
@@ -53,8 +53,10 @@
 		// failureRateAt.
 		failureRate   float64
 		failureRateAt clock.Millis
-		// latencyFactor is the average ratio of actual to expected latency.
-		latencyFactor float64
+		// latencyFactor is the average ratio of actual to expected latency, as of
+		// latencyFactorAt.
+		latencyFactor   float64
+		latencyFactorAt clock.Millis
 		// listedAt is when the server was first listed.
 		listedAt clock.Millis
 
@@ -70,7 +72,7 @@
 	// maxReportAge is the age from which a server's load report is not used.
 	maxReportAge   = 600 * clock.Millis(1)
 	minBackoff     = 400 * clock.Millis(1)
-	maxBackoff     = 4 * clock.Second
+	maxBackoff     = 2 * clock.Second
 	declineBackoff = 60 * clock.Millis(1)
 	// declinedLoadStep is the time after which a server is assumed to accept
 	// one request more than when it declined.
@@ -79,13 +81,21 @@
 	failureWeight = 0.15
 	// failureTimeConstant is the time constant with which the failure rate
 	// decays.
-	failureTimeConstant = 3 * clock.Second
+	failureTimeConstant = 2 * clock.Second
 	// maxFailureRate is the failure rate from which other servers are
 	// preferred.
 	maxFailureRate      = 0.25
 	latencyFactorWeight = 0.12
 	minLatencyFactor    = 0.7
 	maxLatencyFactor    = 8.0
+	// A server that has got no request for latencyFactorHold is tried again: from then
+	// on its latency factor returns to one with latencyFactorTimeConstant.
+	latencyFactorHold         = 1500 * clock.Millis(1)
+	latencyFactorTimeConstant = 500 * clock.Millis(1)
+	// onceProbeDelay is how much later than an idempotent request one that runs at
+	// most once may be the first that is sent to a server after failures. There may be
+	// no idempotent requests to the service.
+	onceProbeDelay = 500 * clock.Millis(1)
 	// warmDuration is how long a server keeps an object warm after a request.
 	warmDuration = 20 * clock.Second
 	// maxTrackedObjects bounds the objects remembered for each server.
@@ -154,6 +164,23 @@
 	s.lastServed[object] = now
 }
 
+// mayProbe reports whether a server whose last requests failed may get one to find out
+// whether it works again.
+func (s *serverState) mayProbe(now clock.Millis, idempotent bool) bool {
+	from := s.backoffUntil
+	if !idempotent {
+		from += onceProbeDelay
+	}
+	return s.inFlight == 0 && now >= from
+}
+
+// currentLatencyFactor returns the latency factor, which returns to one some time after
+// the last sample.
+func (s *serverState) currentLatencyFactor(now clock.Millis) float64 {
+	unused := max(0, now-s.latencyFactorAt-latencyFactorHold)
+	return 1 + (s.latencyFactor-1)*clock.Decay(unused, latencyFactorTimeConstant)
+}
+
 func (s *serverState) recordFailure(now clock.Millis) {
 	s.consecutiveFailures++
 	s.backoffUntil = now + min(minBackoff<<min(s.consecutiveFailures-1, 8), maxBackoff)
