Choose in constant time, and take in lists by differences

Cause: a choice hashed its object with every server of every allowed region, and each changed row decoded, sorted and grouped the whole list. Change: a region with over 64 servers keeps them on a ring; an object looks at 21 places of it and takes the closest usable servers (multi-probe consistent hashing); smaller regions rank all as before. Further regions are ranked only while servers are missing. A free slot is looked for among 48 servers of a large region. The rank of senders to a cold server is worked out once for each list of instances. Replicas tell the keys of changed rows; only these are decoded, and balancers move only these servers. Weighed: Maglev tables (rebuilt at each change), jump hashing (moves other objects when one server in the middle leaves), rendezvous over a tree (uneven where domains are). Workspaces with less than one request in 0.9 s no longer fetch parts of a token ahead, which were returned unused.

--- a/fleet/replica.go
+++ b/fleet/replica.go
@@ -14,8 +14,9 @@
 // Replica is this instance's copy of one table of the platform. Its version never
 // decreases. It is safe for concurrent use.
 type Replica struct {
-	name     string
-	onChange func()
+	name string
+	// onChange gets the keys of the rows that have changed.
+	onChange func(keys []string)
 
 	mu   sync.Mutex
 	rows map[string]*wire.TableRow
@@ -35,9 +36,10 @@
 // maxLogRows bounds the changes kept for peers that lag slightly behind.
 const maxLogRows = 512
 
-// NewReplica returns an empty copy of a table. It calls onChange after each change,
-// without holding a lock.
-func NewReplica(name string, onChange func()) *Replica {
+// NewReplica returns an empty copy of a table. It calls onChange after each change, with
+// the keys of the rows that have changed, without holding a lock. Calls for changes in a
+// row may come in any order.
+func NewReplica(name string, onChange func(keys []string)) *Replica {
 	return &Replica{name: name, rows: make(map[string]*wire.TableRow), onChange: onChange}
 }
 
@@ -80,23 +82,23 @@
 // an older version. It returns false if changes before them are missing here, so that
 // the full table is needed.
 func (r *Replica) Apply(delta *wire.TableDelta, at clock.Millis) bool {
-	changed, ok := r.apply(delta, at)
+	changed, keys, ok := r.apply(delta, at)
 	if changed {
-		r.onChange()
+		r.onChange(keys)
 	}
 	return ok
 }
 
-func (r *Replica) apply(delta *wire.TableDelta, at clock.Millis) (changed, ok bool) {
+func (r *Replica) apply(delta *wire.TableDelta, at clock.Millis) (changed bool, keys []string, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !delta.GetFull() && (!r.known || delta.GetSince() > r.version) {
-		return false, false
+		return false, nil, false
 	}
 	if delta.GetVersion() < r.version {
-		return false, true
+		return false, nil, true
 	}
-	changed = !r.known
+	first := !r.known
 	if delta.GetFull() {
 		// A full table does not tell which rows were removed on the way.
 		r.logFloor = delta.GetVersion()
@@ -105,11 +107,11 @@
 	if delta.GetFull() {
 		rows = append(r.removalsFor(delta), rows...)
 	}
-	changed = r.mergeRows(rows) || changed
+	keys = r.mergeRows(rows)
 	r.version = delta.GetVersion()
 	r.asOf = max(r.asOf, at)
 	r.known = true
-	return changed, true
+	return first || len(keys) > 0, keys, true
 }
 
 // removalsFor returns a removal for each older row that a full table does not contain.
@@ -127,12 +129,12 @@
 	return removals
 }
 
-// mergeRows applies changed rows in the order of their versions and reports whether
-// anything has changed.
-func (r *Replica) mergeRows(rows []*wire.TableRow) bool {
+// mergeRows applies changed rows in the order of their versions and returns the keys of
+// those that have changed.
+func (r *Replica) mergeRows(rows []*wire.TableRow) []string {
 	rows = append([]*wire.TableRow(nil), rows...)
 	sort.SliceStable(rows, func(i, j int) bool { return rows[i].GetVersion() < rows[j].GetVersion() })
-	changed := false
+	var keys []string
 	for _, row := range rows {
 		old, ok := r.rows[row.GetKey()]
 		if (ok && old.GetVersion() >= row.GetVersion()) || (!ok && row.GetRemoved()) {
@@ -144,10 +146,10 @@
 			r.rows[row.GetKey()] = row
 		}
 		r.log = append(r.log, row)
-		changed = true
+		keys = append(keys, row.GetKey())
 	}
 	r.trimLog()
-	return changed
+	return keys
 }
 
 func (r *Replica) trimLog() {
@@ -184,6 +186,13 @@
 	return delta
 }
 
+// Row returns the row with a key, or nil if there is none.
+func (r *Replica) Row(key string) *wire.TableRow {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.rows[key]
+}
+
 // Rows returns the table's rows in the order of their keys.
 func (r *Replica) Rows() []*wire.TableRow {
 	r.mu.Lock()
--- a/fleet/replica_test.go
+++ b/fleet/replica_test.go
@@ -55,7 +55,7 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			r := NewReplica("t", func() {})
+			r := NewReplica("t", func([]string) {})
 			ok := false
 			for _, delta := range c.deltas {
 				ok = r.Apply(delta, 0)
@@ -77,10 +77,10 @@
 // TestDeltaAfterFullTable checks that a peer learns of a removal that happened on the way
 // to a version that was taken in as a full table.
 func TestDeltaAfterFullTable(t *testing.T) {
-	r := NewReplica("t", func() {})
+	r := NewReplica("t", func([]string) {})
 	r.Apply(&wire.TableDelta{Version: 1, Full: true}, 0)
 	r.Apply(&wire.TableDelta{Version: 3, Full: true}, 0)
-	peer := NewReplica("t", func() {})
+	peer := NewReplica("t", func([]string) {})
 	peer.Apply(&wire.TableDelta{Version: 2, Full: true, Rows: []*wire.TableRow{row("a", 2)}}, 0)
 	peer.Apply(r.DeltaSince(peer.Version(), 0), 0)
 	if rows := peer.Rows(); len(rows) > 0 || peer.Version() != 3 {
@@ -94,10 +94,10 @@
 func TestReplicasAgree(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		history := []map[string]int64{{}}
-		source := NewReplica("t", func() {})
+		source := NewReplica("t", func([]string) {})
 		source.Apply(&wire.TableDelta{Full: true, Version: 1}, 0)
 		history = append(history, map[string]int64{})
-		replicas := []*Replica{NewReplica("t", func() {}), NewReplica("t", func() {}), NewReplica("t", func() {})}
+		replicas := []*Replica{NewReplica("t", func([]string) {}), NewReplica("t", func([]string) {}), NewReplica("t", func([]string) {})}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			if rapid.Bool().Draw(t, "write") {
 				version := int64(len(history))
--- a/fleet/updates_test.go
+++ b/fleet/updates_test.go
@@ -26,7 +26,7 @@
 		if err != nil {
 			return
 		}
-		r := NewReplica("t", func() {})
+		r := NewReplica("t", func([]string) {})
 		for _, delta := range updates.GetTables() {
 			before := r.Version()
 			r.Apply(delta, 0)
--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -56,6 +56,11 @@
 		domainLoads map[string]*domainLoad
 		roundTrips  map[string]clock.Millis
 		notices     notices
+		// fleetVersion counts the changes of the list of instances.
+		fleetVersion int
+		// rankings and selected are used again for each request.
+		rankings []ranking
+		selected []candidate
 		// overloads is keyed by service.
 		overloads        map[string]*overload
 		needlessRefusals int
@@ -102,27 +107,85 @@
 // SetServers replaces the list of servers. Servers that are missing from the
 // list receive no further requests.
 func (b *Balancer) SetServers(now clock.Millis, list []Server) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
 	listed := make(map[string]struct{}, len(list))
 	for _, info := range list {
 		listed[info.ID] = struct{}{}
-		b.upsertServer(now, info)
 	}
-	for id, s := range b.servers {
+	b.mu.Lock()
+	var removed []string
+	for id := range b.servers {
 		if _, ok := listed[id]; !ok {
+			removed = append(removed, id)
+		}
+	}
+	b.mu.Unlock()
+	b.UpdateServers(now, list, removed)
+}
+
+// UpdateServers adds or changes servers and removes others, by their IDs. The rest of the
+// list stays as it is.
+func (b *Balancer) UpdateServers(now clock.Millis, changed []Server, removed []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	services := b.servicesOf(changed)
+	for _, id := range removed {
+		if s, ok := b.servers[id]; ok {
+			services = withMember(services, s.info.Service)
+			b.ungroup(s)
 			b.notices.unlist(now, s.info.incarnation())
 			delete(b.servers, id)
 		}
 	}
+	regrouped := b.ungroupChanged(changed)
+	for i, info := range changed {
+		server := b.upsertServer(now, info)
+		if regrouped[i] {
+			services = withMember(services, info.Service)
+			b.group(server)
+		}
+	}
+	b.sortRings(services)
 	b.notices.prune(now)
-	b.rebuildServices()
-	b.listReceived = b.listReceived || len(list) > 0
+	b.replan(services)
+	b.listReceived = b.listReceived || len(changed) > 0
 }
 
-// upsertServer adds a server or updates its listed properties. A server with a
-// new start time or address starts with fresh state.
-func (b *Balancer) upsertServer(now clock.Millis, info Server) {
+// servicesOf returns the services of the listed servers that a list changes.
+func (b *Balancer) servicesOf(changed []Server) values.Set[string] {
+	services := values.NewSet[string]()
+	for _, info := range changed {
+		if old, ok := b.servers[info.ID]; ok && !old.info.isGroupedLike(info) {
+			services = withMember(services, old.info.Service)
+		}
+	}
+	return services
+}
+
+// ungroupChanged takes the servers that a list changes out of their groups. It returns,
+// in the order of the list, which servers must be put into a group.
+func (b *Balancer) ungroupChanged(changed []Server) []bool {
+	regrouped := make([]bool, len(changed))
+	for i, info := range changed {
+		old, ok := b.servers[info.ID]
+		regrouped[i] = !ok || !old.info.isGroupedLike(info)
+		if ok && regrouped[i] {
+			b.ungroup(old)
+		}
+	}
+	return regrouped
+}
+
+// withMember returns a set with a member, which is the same set if it has the member.
+func withMember(set values.Set[string], member string) values.Set[string] {
+	if set.Has(member) {
+		return set
+	}
+	return set.With(member)
+}
+
+// upsertServer adds a server or updates its listed properties, and returns its state. A
+// server with a new start time or address starts with fresh state.
+func (b *Balancer) upsertServer(now clock.Millis, info Server) *serverState {
 	old, ok := b.servers[info.ID]
 	s := old
 	if !ok || s.info.StartUnixMs != info.StartUnixMs || s.info.Address != info.Address {
@@ -157,7 +220,11 @@
 	if info.ColdFor > 0 {
 		s.coldUntil = max(s.coldUntil, now+info.ColdFor)
 	}
+	if s.info.FailureDomain != info.FailureDomain || s.info.Service != info.Service {
+		s.domainLoad = b.domainLoadOf(info)
+	}
 	s.info = info
+	return s
 }
 
 // SetServices replaces the limits of the services.
@@ -186,20 +253,32 @@
 func (b *Balancer) SetEvacuated(now clock.Millis, domains values.Set[string]) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.evacuated.Equal(domains) {
+		return
+	}
+	b.evacuated = domains
+	services := values.NewSet[string]()
 	for _, s := range b.servers {
-		domain := s.info.FailureDomain
-		if b.evacuated.Has(domain) && !domains.Has(domain) {
+		if s.evacuated == domains.Has(s.info.FailureDomain) {
+			continue
+		}
+		if s.evacuated {
 			s.coldUntil = max(s.coldUntil, now+b.limits[s.info.Service].ColdStart)
 		}
+		services = withMember(services, s.info.Service)
+		region := b.services[s.info.Service].region(s.info.Region)
+		region.slots -= s.acceptedSlots
+		b.accept(s)
+		region.slots += s.acceptedSlots
 	}
-	b.evacuated = domains
-	b.rebuildServices()
+	b.replan(services)
 }
 
 // SetFleet replaces the list of instances that share the servers' limits.
 func (b *Balancer) SetFleet(fleet Fleet) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.fleetVersion++
 	b.selfHash = xxhash.Sum64String(fleet.Self)
 	b.memberHashes = b.memberHashes[:0]
 	for _, name := range fleet.Members {
--- a/placement/candidates.go
+++ b/placement/candidates.go
@@ -1,23 +1,10 @@
 package placement
 
-import (
-	"sort"
-
-	"github.com/bulrushferry/bulrushferry/clock"
-)
-
-// regionCandidates holds the highest-ranked servers of one region for an
-// object.
-type regionCandidates struct {
-	name  string
-	score float64
-	best  [serversPerRegion]candidate
-	count int
-}
+import "github.com/bulrushferry/bulrushferry/clock"
 
 // rankCandidates returns the few servers that may serve an object, starting
 // with those of the region that ranks first for it. A strict search leaves out
-// servers that failed recently.
+// servers that failed recently. The result is valid until the next call.
 func (b *Balancer) rankCandidates(now clock.Millis, q Query, strict bool) []candidate {
 	service := b.services[q.Service]
 	if service == nil {
@@ -27,52 +14,47 @@
 	if object == 0 {
 		object = b.config.Random.Uint64()
 	}
-	regions := make([]regionCandidates, 0, len(service.regions))
+	b.rankings = b.rankings[:0]
 	for _, region := range service.regions {
-		if !q.RegionAllowed(region.name) {
-			continue
+		if region.slots > 0 && q.RegionAllowed(region.name) {
+			b.rankings = append(b.rankings, ranking{region: region, score: service.plan.score(object, region.name, region.hash)})
 		}
-		candidates := regionCandidates{name: region.name, score: service.plan.score(object, region.name, region.hash)}
-		for _, server := range region.servers {
-			if b.usable(now, q, server, strict) {
-				candidates.insert(candidate{state: server, score: mixHashes(object, server.idHash)})
-			}
-		}
-		if candidates.count > 0 {
-			regions = append(regions, candidates)
-		}
-	}
-	sort.Slice(regions, func(i, j int) bool { return regions[i].score > regions[j].score })
-	if len(regions) == 0 {
-		return nil
 	}
-	return selectCandidates(regions, b.fanoutOf(now, q.Service, regions[0].name).count)
+	sortRankings(b.rankings)
+	return b.selectCandidates(now, q, object, strict)
 }
 
-// selectCandidates keeps at most the given number of servers: up to two of the
-// first region and one of each following region.
-func selectCandidates(regions []regionCandidates, limit int) []candidate {
-	var selected []candidate
-	for i := range regions {
-		best := regions[i].best[:min(regions[i].count, max(1, serversPerRegion-i))]
-		selected = append(selected, best[:min(len(best), limit-len(selected))]...)
-		if len(selected) == limit {
-			break
+// sortRankings sorts the rankings of a few regions by descending score.
+func sortRankings(rankings []ranking) {
+	for i := 1; i < len(rankings); i++ {
+		for j := i; j > 0 && rankings[j].score > rankings[j-1].score; j-- {
+			rankings[j], rankings[j-1] = rankings[j-1], rankings[j]
 		}
 	}
-	return selected
 }
 
-// insert adds a server, keeping the best ones in descending order of score.
-func (r *regionCandidates) insert(c candidate) {
-	i := r.count
-	for i > 0 && r.best[i-1].score < c.score {
-		i--
-	}
-	if i == serversPerRegion {
-		return
+// selectCandidates returns the servers of the ranked regions that serve an object, as many
+// as the fanout of the first region with a usable server: up to two of that region and one
+// of each following one.
+func (b *Balancer) selectCandidates(now clock.Millis, q Query, object uint64, strict bool) []candidate {
+	usable := func(s *serverState) bool { return b.usable(now, q, s, strict) }
+	b.selected = b.selected[:0]
+	limit, most := 0, serversPerRegion
+	for i := range b.rankings {
+		r := &b.rankings[i]
+		r.region.rank(object, r, usable)
+		if r.count == 0 {
+			continue
+		}
+		if limit == 0 {
+			limit = b.fanoutOf(now, q.Service, r.region.name).count
+		}
+		best := r.best[:min(r.count, most, limit-len(b.selected))]
+		b.selected = append(b.selected, best...)
+		if len(b.selected) == limit {
+			break
+		}
+		most = max(1, most-1)
 	}
-	copy(r.best[i+1:], r.best[i:serversPerRegion-1])
-	r.best[i] = c
-	r.count = min(r.count+1, serversPerRegion)
+	return b.selected
 }
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -230,13 +230,10 @@
 	}
 }
 
-// usable reports whether a request may be sent to a server. With strict set, it
-// leaves out servers that failed recently.
+// usable reports whether a request may be sent to a server of a region that may serve
+// it. With strict set, it leaves out servers that failed recently.
 func (b *Balancer) usable(now clock.Millis, q Query, s *serverState, strict bool) bool {
-	if s.info.Draining || b.evacuated.Has(s.info.FailureDomain) || !q.RegionAllowed(s.info.Region) {
-		return false
-	}
-	if q.Exclude.Has(s.info.ID) || s.notice.bars(now, s.inFlight, s.info.Slots) {
+	if s.acceptedSlots == 0 || (q.Exclude.Len() > 0 && q.Exclude.Has(s.info.ID)) || s.notice.bars(now, s.inFlight, s.info.Slots) {
 		return false
 	}
 	if s.isCold(now) && !s.coldTokens.has(now, b.coldRate(s)) {
--- a/placement/cold.go
+++ b/placement/cold.go
@@ -28,15 +28,18 @@
 	}
 	allowed := (limit*b.config.ColdOverage + b.config.ColdSlack) * coldRateShare
 	senders := min(len(b.memberHashes)+1, max(1, int(allowed/minSenderRate)))
-	if b.senderRank(s) >= senders {
+	if b.senderRankOf(s) >= senders {
 		return 0
 	}
 	return max(0, allowed/float64(senders)-1)
 }
 
-// senderRank returns how many other instances rank higher than this one for a
-// server.
-func (b *Balancer) senderRank(s *serverState) int {
+// senderRankOf returns how many other instances rank higher than this one for a
+// server. It is worked out once for each list of instances.
+func (b *Balancer) senderRankOf(s *serverState) int {
+	if s.senderRankAt == b.fleetVersion {
+		return s.senderRank
+	}
 	ownScore := mixHashes(b.selfHash, s.idHash)
 	rank := 0
 	for _, member := range b.memberHashes {
@@ -44,6 +47,7 @@
 			rank++
 		}
 	}
+	s.senderRank, s.senderRankAt = rank, b.fleetVersion
 	return rank
 }
 
--- a/placement/idle.go
+++ b/placement/idle.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 
 	"github.com/bulrushferry/bulrushferry/clock"
 	"github.com/bulrushferry/bulrushferry/values"
@@ -28,29 +29,44 @@
 }
 
 // idleServer returns the server with a free slot in the given regions that
-// isBetter prefers, or nil if there is none.
+// isBetter prefers, or nil if none was found. Of a large region it looks at a sample.
 func (b *Balancer) idleServer(now clock.Millis, q Query, regions values.Set[string]) *candidate {
 	service := b.services[q.Service]
 	if service == nil {
 		return nil
 	}
-	var best *candidate
+	var best candidate
+	found := false
 	for _, region := range service.regions {
-		if !regions.Has(region.name) {
+		if !regions.Has(region.name) || !q.RegionAllowed(region.name) {
 			continue
 		}
-		for _, server := range region.servers {
+		first, count := region.sample(b.config.Random)
+		for i := range count {
+			server := region.servers[(first+i)%len(region.servers)]
 			if server.load(now) >= server.info.Slots || server.isFull(now) || !b.usable(now, q, server, true) {
 				continue
 			}
-			c := &candidate{state: server, score: mixHashes(q.Object, server.idHash), warm: q.Object == 0 || server.isWarmFor(q.Object, now)}
-			b.estimate(now, q, c)
-			if best == nil || b.isBetter(c, best) {
-				best = c
+			c := candidate{state: server, score: mixHashes(q.Object, server.idHash), warm: q.Object == 0 || server.isWarmFor(q.Object, now)}
+			b.estimate(now, q, &c)
+			if !found || b.isBetter(&c, &best) {
+				best, found = c, true
 			}
 		}
 	}
-	return best
+	if !found {
+		return nil
+	}
+	return &best
+}
+
+// sample returns the servers of a region that are looked at for a free one, as an index
+// and a count: all of a small region, and some in a row of a large one.
+func (r *regionServers) sample(random *rand.Rand) (first, count int) {
+	if len(r.servers) <= fullRankSize {
+		return 0, len(r.servers)
+	}
+	return random.IntN(len(r.servers)), sampleSize
 }
 
 // isBetter reports whether a candidate is preferred to another: its expected
--- a/placement/notice.go
+++ b/placement/notice.go
@@ -207,7 +207,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := c.state
-	if b.servers[c.Server.ID] != s || s.info.Draining || b.evacuated.Has(s.info.FailureDomain) {
+	if b.servers[c.Server.ID] != s || s.acceptedSlots == 0 {
 		return false
 	}
 	// The request is itself one of those in flight.
@@ -226,8 +226,10 @@
 		if !q.RegionAllowed(region.name) {
 			continue
 		}
-		for _, s := range region.servers {
-			if s.info.Draining || s.notice == nil || s.notice.leaving || b.evacuated.Has(s.info.FailureDomain) {
+		first, count := region.sample(b.config.Random)
+		for i := range count {
+			s := region.servers[(first+i)%len(region.servers)]
+			if s.acceptedSlots == 0 || s.notice == nil || s.notice.leaving {
 				continue
 			}
 			if !s.notice.isPaused(now, s.inFlight, s.info.Slots) {
--- a/placement/server.go
+++ b/placement/server.go
@@ -25,6 +25,16 @@
 	serverState struct {
 		info   Server
 		idHash uint64
+		// index is the server's place in the list of its region.
+		index int
+		// evacuated is set while its failure domain gets no requests, acceptedSlots
+		// are its slots unless it gets none for that or another listed reason.
+		evacuated     bool
+		acceptedSlots int
+		// senderRank is the rank of this instance among the senders of a cold server, as
+		// of the fleet's version senderRankAt.
+		senderRank   int
+		senderRankAt int
 
 		inFlight int
 		// otherLoad is the load from other instances, as of the server's last
@@ -68,6 +78,13 @@
 	}
 )
 
+// isGroupedLike reports whether another entry of the server leaves it where it is among
+// the servers of its service and region.
+func (s Server) isGroupedLike(other Server) bool {
+	other.ColdFor = s.ColdFor
+	return s == other
+}
+
 const (
 	// maxReportAge is the age from which a server's load report is not used.
 	maxReportAge   = 600 * clock.Millis(1)
--- a/quota/token_cache.go
+++ b/quota/token_cache.go
@@ -59,7 +59,7 @@
 	if now < c.exhaustedUntil && waiting == 0 {
 		return 0
 	}
-	target := c.demandPerS*reserveTime.Seconds() + float64(waiting)
+	target := c.reserve() + float64(waiting)
 	if waiting == 0 && c.tokens >= target*refillFraction {
 		return 0
 	}
@@ -73,6 +73,16 @@
 	return max(want, 1)
 }
 
+// reserve returns how many tokens to hold for the requests to come. A part of a token
+// admits nothing and would only be returned.
+func (c *TokenCache) reserve() float64 {
+	tokens := c.demandPerS * reserveTime.Seconds()
+	if tokens < 1 {
+		return 0
+	}
+	return tokens
+}
+
 // TakeSurplus removes and returns the tokens that the demand does not use up
 // within surplusTime.
 func (c *TokenCache) TakeSurplus(now clock.Millis) float64 {
--- a/steering/control_state.go
+++ b/steering/control_state.go
@@ -3,7 +3,6 @@
 import (
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/bulrushferry/bulrushferry/clock"
 	"github.com/bulrushferry/bulrushferry/fleet"
@@ -21,9 +20,9 @@
 		// Config returns the rules. The evacuated domains are valid even if the
 		// configuration cannot be decoded and an error is returned.
 		Config(rows []*wire.TableRow) (Rules, error)
-		// Servers returns the backend servers and the rows that describe no usable
-		// backend server.
-		Servers(rows []*wire.TableRow) ([]placement.Server, []InvalidRow)
+		// Server returns the backend server that a row describes, or what is wrong
+		// with the row if it describes none that can be used.
+		Server(row *wire.TableRow) (server placement.Server, problem string)
 	}
 
 	// Rules are the decoded rows of the rules table.
@@ -106,10 +105,12 @@
 // NewControlState returns a state without configuration and backend servers.
 func NewControlState(config ControlStateConfig) *ControlState {
 	s := &ControlState{
-		config:        config,
-		inUse:         make(map[string]placement.Server),
-		retainedUntil: make(map[string]clock.Millis),
-		onRulesChange: func() {},
+		config:         config,
+		inUse:          make(map[string]placement.Server),
+		invalidRules:   make(invalidRows),
+		invalidServers: make(invalidRows),
+		retainedUntil:  make(map[string]clock.Millis),
+		onRulesChange:  func() {},
 	}
 	return s
 }
@@ -184,8 +185,8 @@
 }
 
 // ReloadRules decodes the rows of the rules replica, applies them and calls the function
-// set with OnRulesChange.
-func (s *ControlState) ReloadRules() {
+// set with OnRulesChange. The keys do not matter, for a configuration is one row.
+func (s *ControlState) ReloadRules([]string) {
 	s.loadRules()
 	s.onRulesChange()
 }
@@ -196,7 +197,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	rules, err := s.config.Decoder.Config(s.Rules.Rows())
-	s.logInvalidRows(&s.invalidRules, rules.Invalid)
+	s.invalidRules = s.replaceInvalid(s.invalidRules, rules.Invalid)
 	s.config.Balancer.SetEvacuated(s.config.Clock.Now(), rules.Evacuated)
 	if err != nil {
 		s.config.Log.Error("decoding the configuration failed, keeping the active one", "error", err.Error())
@@ -217,88 +218,6 @@
 	metrics.GetOrRegisterGauge("config.version", s.config.Metrics).Update(config.Version)
 }
 
-// ReloadServers decodes the rows of the servers replica and updates the balancer.
-// A server whose entry expired during an outage of the platform stays in use until the
-// grace period after the outage is over.
-func (s *ControlState) ReloadServers() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	list, invalid := s.config.Decoder.Servers(s.Servers.Rows())
-	s.logInvalidRows(&s.invalidServers, invalid)
-	now := s.config.BootClock.Now()
-	s.detectOutage()
-	listed := make(map[string]placement.Server, len(list))
-	for _, server := range list {
-		listed[server.ID] = server
-	}
-	s.retainExpired(now, listed)
-	s.updateBalancer(now, list, listed)
-}
-
-// updateBalancer passes the listed and the retained servers to the balancer. current holds
-// the listed servers by their IDs; the retained ones are added and it becomes inUse. The
-// caller must hold the lock.
-func (s *ControlState) updateBalancer(now clock.Millis, list []placement.Server, current map[string]placement.Server) {
-	for id, until := range s.retainedUntil {
-		_, listed := current[id]
-		if listed || now >= until {
-			delete(s.retainedUntil, id)
-			continue
-		}
-		current[id] = s.inUse[id]
-		list = append(list, s.inUse[id])
-	}
-	s.logChanges(current)
-	s.inUse = current
-	s.config.Balancer.SetServers(s.config.Clock.Now(), list)
-}
-
-// logChanges logs the servers that were added, changed or removed, or only their number
-// if there are more than maxLoggedServers. The caller must hold the lock.
-func (s *ControlState) logChanges(current map[string]placement.Server) {
-	var changed []placement.Server
-	for id, server := range current {
-		if old, ok := s.inUse[id]; !ok || old.Draining != server.Draining || old.StartUnixMs != server.StartUnixMs {
-			changed = append(changed, server)
-		}
-	}
-	var removed []string
-	for id := range s.inUse {
-		if _, ok := current[id]; !ok {
-			removed = append(removed, id)
-		}
-	}
-	if len(changed)+len(removed) > maxLoggedServers {
-		s.config.Log.Info("many backend servers changed", "listed", len(current), "changed", len(changed), "left", len(removed))
-		return
-	}
-	for _, server := range changed {
-		s.config.Log.Info("backend server added or changed", "server", server.ID, "service", server.Service, "domain", server.FailureDomain,
-			"address", server.Address, "draining", server.Draining, "cold_ms", int64(server.ColdFor))
-	}
-	for _, id := range removed {
-		s.config.Log.Info("backend server removed", "server", id)
-	}
-}
-
-// retainExpired retains the servers that are in use and no longer listed, if an outage has
-// just ended; draining ones are dropped. The caller must hold the lock.
-func (s *ControlState) retainExpired(now clock.Millis, listed map[string]placement.Server) {
-	if now >= s.outage.graceUntil {
-		return
-	}
-	until := s.outage.graceUntil
-	for id, server := range s.inUse {
-		if _, ok := listed[id]; ok || server.Draining {
-			continue
-		}
-		if _, retained := s.retainedUntil[id]; !retained {
-			s.retainedUntil[id] = until
-			time.AfterFunc((until - now).Duration(), s.ReloadServers)
-		}
-	}
-}
-
 // DetectOutage starts the grace period if the platform has just recovered from an outage.
 func (s *ControlState) DetectOutage() {
 	s.mu.Lock()
@@ -325,11 +244,3 @@
 func (s *ControlState) OnRulesChange(call func()) {
 	s.onRulesChange = call
 }
-
-// InUse reports whether a backend server is listed or retained.
-func (s *ControlState) InUse(id string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	_, ok := s.inUse[id]
-	return ok
-}
--- a/steering/forward_test.go
+++ b/steering/forward_test.go
@@ -68,12 +68,8 @@
 	return rules, nil
 }
 
-func (d listDecoder) Servers(rows []*wire.TableRow) ([]placement.Server, []InvalidRow) {
-	var list []placement.Server
-	for _, row := range rows {
-		list = append(list, d.servers[row.GetKey()])
-	}
-	return list, nil
+func (d listDecoder) Server(row *wire.TableRow) (placement.Server, string) {
+	return d.servers[row.GetKey()], ""
 }
 
 // testConfig returns a configuration with an idempotent route /a/ and one that runs once,
--- a/steering/invalid_rows.go
+++ b/steering/invalid_rows.go
@@ -6,29 +6,37 @@
 	"github.com/rcrowley/go-metrics"
 )
 
-// invalidRows holds the rows of a table that could not be used at its last update, with
-// their problems by their keys.
+// invalidRows holds the problems of the rows of a table that cannot be used, by their keys.
 type invalidRows map[string]string
 
 // maxLoggedKeyBytes limits how much of a row's key is logged.
 const maxLoggedKeyBytes = 80
 
-// logInvalidRows logs and counts the rows that were not invalid in the same way at the last
-// update. The caller must hold the lock.
-func (s *ControlState) logInvalidRows(known *invalidRows, rows []InvalidRow) {
+// replaceInvalid logs and counts the rows of a table that were not invalid in the same way
+// before, and forgets those that are no longer invalid. The caller must hold the lock.
+func (s *ControlState) replaceInvalid(known invalidRows, rows []InvalidRow) invalidRows {
+	s.logNewInvalid(known, rows)
 	current := make(invalidRows, len(rows))
-	logged := 0
 	for _, row := range rows {
 		current[row.Key] = row.Problem
-		if (*known)[row.Key] == row.Problem {
+	}
+	return current
+}
+
+// logNewInvalid logs and counts the rows that were not invalid in the same way before, and
+// remembers them. The caller must hold the lock.
+func (s *ControlState) logNewInvalid(known invalidRows, rows []InvalidRow) {
+	logged := 0
+	for _, row := range rows {
+		if known[row.Key] == row.Problem {
 			continue
 		}
+		known[row.Key] = row.Problem
 		metrics.GetOrRegisterCounter("rows.invalid", s.config.Metrics).Inc(1)
 		if logged++; logged <= maxLoggedServers {
 			s.logInvalidRow(row)
 		}
 	}
-	*known = current
 }
 
 // OnInvalidRow logs and counts a row that is not in the store's format.
--- a/steering/steering_test.go
+++ b/steering/steering_test.go
@@ -34,12 +34,8 @@
 	return rules, nil
 }
 
-func (plainDecoder) Servers(rows []*wire.TableRow) ([]placement.Server, []InvalidRow) {
-	var list []placement.Server
-	for _, row := range rows {
-		list = append(list, placement.Server{ID: row.GetKey(), Service: "s", Slots: 1, Draining: string(row.GetValue()) == "draining"})
-	}
-	return list, nil
+func (plainDecoder) Server(row *wire.TableRow) (placement.Server, string) {
+	return placement.Server{ID: row.GetKey(), Service: "s", Slots: 1, Draining: string(row.GetValue()) == "draining"}, ""
 }
 
 // testControlState is a ControlState with a clock that tests control.
@@ -146,7 +142,7 @@
 		t.Fatal("a server whose entry expired during an outage was dropped immediately")
 	}
 	state.manualClock.Advance(recoveryGrace)
-	state.ReloadServers()
+	state.dropExpired()
 	if state.InUse("a") {
 		t.Fatal("a server that has not registered again is still in use after the grace period")
 	}
--- a/values/set.go
+++ b/values/set.go
@@ -1,7 +1,10 @@
 // Package values holds small generic value types.
 package values
 
-import "sort"
+import (
+	"maps"
+	"sort"
+)
 
 // Set is an immutable set of strings or integers. The zero Set is empty.
 type Set[T ~string | ~int | ~int32 | ~int64 | ~uint64] struct {
@@ -28,6 +31,11 @@
 	return len(s.members)
 }
 
+// Equal reports whether two sets have the same members.
+func (s Set[T]) Equal(other Set[T]) bool {
+	return maps.Equal(s.members, other.members)
+}
+
 // With returns a copy that also contains the given members.
 func (s Set[T]) With(members ...T) Set[T] {
 	return NewSet(append(s.Sorted(), members...)...)
