Count a server as full at the load at which it declined

Cause (TestOtherDeployments/one_instance, each refusal's estimate read from the log): all refusals come within 60 ms of a start at which 24 callers meet three servers. A server declines the ninth request beside eight; when that is noted, most of the eight have ended, and the server counted as full at a load of 1 or 2 for up to three seconds. Change: the load at the time of sending is what counts; within the 60 ms after a decline, a server at under half of that load is not full. Before: TestDeclineKeepsRoomBelowItsLoad finds the server full at a load of 1. Ruled out: that the slots were full; load 1 to 4 of 8 in the refusals.

--- a/placement/balancer_test.go
+++ b/placement/balancer_test.go
@@ -231,6 +231,32 @@
 	}
 }
 
+// TestDeclineKeepsRoomBelowItsLoad has a server decline what was sent beside its full slots.
+// Once most of those requests have ended, it must not count as full at a lower load.
+func TestDeclineKeepsRoomBelowItsLoad(t *testing.T) {
+	list := testServers(1)[:1]
+	list[0].Slots = 8
+	balancer := newTestBalancerOf(list)
+	var choices []*Choice
+	for range 12 {
+		choice, refusal := balancer.Choose(10, testQuery(7))
+		if refusal != nil {
+			t.Fatal(refusal.Reason)
+		}
+		choices = append(choices, choice)
+	}
+	for _, choice := range choices[:7] {
+		balancer.Done(60, choice, Result{Outcome: Answered, HasLoad: true, Load: 1})
+	}
+	for _, choice := range choices[8:] {
+		balancer.Done(61, choice, Result{Outcome: Declined, HasLoad: true, Load: 1})
+	}
+	const later = 61 + declineBackoff
+	if state := choices[7].state; state.isFull(later) {
+		t.Errorf("the server counts as full at a load of %d, it declined at %d", state.knownLoad(later), 8)
+	}
+}
+
 // TestColdServerRateLimit lets every instance of a fleet send to a newly
 // started server as fast as it may, at random times. The server must never
 // receive more than its limit within one second.
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -52,6 +52,8 @@
 		servedRecently bool
 		baseLatency    clock.Millis
 		sentAt         clock.Millis
+		// loadBefore is the known load of the server without this request.
+		loadBefore int
 		// fanout is that of the request's object.
 		fanout *fanout
 	}
@@ -143,6 +145,7 @@
 		warm:            best.warm,
 		sentAt:          now,
 		baseLatency:     best.baseLatency,
+		loadBefore:      s.knownLoad(now),
 		uncontended:     s.load(now) < s.info.Slots && !cold,
 		fanout:          b.fanoutOf(now, q.Service, candidates[0].state.info.Region),
 	}
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -112,11 +112,14 @@
 		s.updateFailureRate(now, 1, failureWeight)
 	case Declined:
 		s.consecutiveFailures = 0
-		s.recordDecline(now)
+		s.recordDecline(now, c.loadBefore)
 		s.updateFailureRate(now, 1, declineWeight)
 	case ConnectionLimit:
 		s.fullUntil = now + declineBackoff
-	case ResponseLost, Unreachable:
+	case ResponseLost:
+		s.lostAt = now
+		s.recordFailure(now)
+	case Unreachable:
 		s.recordFailure(now)
 	case TimedOut:
 		s.updateLatencyFactor(now, c, max(c.baseLatency, now-c.sentAt))
--- a/placement/server.go
+++ b/placement/server.go
@@ -52,6 +52,8 @@
 		// failures.
 		consecutiveFailures int
 		backoffUntil        clock.Millis
+		// lostAt is when the response to a request was last lost.
+		lostAt clock.Millis
 		// fullUntil is when a server that declined a request, or had no free
 		// connection, is tried again.
 		fullUntil clock.Millis
@@ -91,6 +93,9 @@
 	minBackoff     = 400 * clock.Millis(1)
 	maxBackoff     = 2 * clock.Second
 	declineBackoff = 60 * clock.Millis(1)
+	// declinedLoadDivisor is the part, as a divisor, of the load at which a server
+	// declined below which it is not taken to be full at all.
+	declinedLoadDivisor = 2
 	// declinedLoadStep is the time after which a server is assumed to accept
 	// one request more than when it declined.
 	declinedLoadStep = 500 * clock.Millis(1)
@@ -109,10 +114,10 @@
 	// on its latency factor returns to one with latencyFactorTimeConstant.
 	latencyFactorHold         = 1500 * clock.Millis(1)
 	latencyFactorTimeConstant = 500 * clock.Millis(1)
-	// onceProbeDelay is how much later than an idempotent request one that runs at
-	// most once may be the first that is sent to a server after failures. There may be
-	// no idempotent requests to the service.
-	onceProbeDelay = 500 * clock.Millis(1)
+	// onceProbeDelay is how long after a lost response a request that runs at most once
+	// may be the first that is sent to the server again. Idempotent ones find out sooner
+	// whether it works, but not all services get any.
+	onceProbeDelay = 2500 * clock.Millis(1)
 	// warmDuration is how long a server keeps an object warm after a request.
 	warmDuration = 20 * clock.Second
 	// maxTrackedObjects bounds the objects remembered for each server.
@@ -145,16 +150,17 @@
 
 // isFull reports whether the server is expected to decline another request.
 func (s *serverState) isFull(now clock.Millis) bool {
-	if now < s.fullUntil {
+	if now < s.fullUntil && s.knownLoad(now)+1 >= (s.declinedLoad+1)/declinedLoadDivisor {
 		return true
 	}
 	return s.declinedLoad > 0 && s.knownLoad(now) >= s.declinedLoad+int((now-s.declinedAt)/declinedLoadStep)
 }
 
-// recordDecline records that the server had no room for another request.
-func (s *serverState) recordDecline(now clock.Millis) {
+// recordDecline records that the server had no room for another request beside the load
+// at the time when that was sent. Of that load much may have ended since.
+func (s *serverState) recordDecline(now clock.Millis, loadBefore int) {
 	s.fullUntil = now + declineBackoff
-	s.declinedLoad = max(1, s.knownLoad(now))
+	s.declinedLoad = max(1, loadBefore, s.knownLoad(now))
 	s.declinedAt = now
 }
 
@@ -184,11 +190,10 @@
 // mayProbe reports whether a server whose last requests failed may get one to find out
 // whether it works again.
 func (s *serverState) mayProbe(now clock.Millis, idempotent bool) bool {
-	from := s.backoffUntil
-	if !idempotent {
-		from += onceProbeDelay
+	if !idempotent && now < s.lostAt+onceProbeDelay {
+		return false
 	}
-	return s.inFlight == 0 && now >= from
+	return s.inFlight == 0 && now >= s.backoffUntil
 }
 
 // currentLatencyFactor returns the latency factor, which returns to one some time after
