--- a/bench/emulate.go
+++ b/bench/emulate.go
@@ -6,6 +6,7 @@
 	"maps"
 	"os"
 	"slices"
+	"time"
 
 	"github.com/bulrushferry/bulrushferry/emulator"
 )
@@ -33,27 +34,55 @@
 			return fmt.Errorf("reading %s: %w", o.EmulatedFile, err)
 		}
 	}
+	started := time.Now()
+	policies := o.policies()
 	fmt.Println("| policy | load | seed | earned | worst domain | worst kind | unserved | p50 ms | p99 ms |")
 	fmt.Println("|---|---|---|---|---|---|---|---|---|")
 	var runs []emulatedRun
-	for _, name := range slices.Sorted(maps.Keys(emulator.Policies)) {
+	for _, name := range policies {
 		for _, load := range o.EmulateLoads {
 			for seed := range uint64(o.Seeds) {
 				run := emulatedRun{Policy: name, Load: load, Seed: seed + 1}
+				fmt.Fprintf(os.Stderr, "%s: run %d of %d, %s at load %.2f\n", time.Since(started).Round(time.Second), len(runs)+1, len(policies)*len(o.EmulateLoads)*o.Seeds, name, load)
 				run.Result = emulator.Run(config.WithLoad(load).WithSeed(run.Seed), emulator.Policies[name])
 				fmt.Println(run)
 				runs = append(runs, run)
 			}
 		}
 	}
-	if o.JSONFile == "" {
+	return o.writeEmulated(runs)
+}
+
+// policies returns the names of the policies to emulate, all by default.
+func (o *options) policies() []string {
+	var names []string
+	for _, name := range slices.Sorted(maps.Keys(emulator.Policies)) {
+		if isSelected(o.Policies, name) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// writeEmulated writes the files that are named by the options.
+func (o *options) writeEmulated(runs []emulatedRun) error {
+	if o.JSONFile != "" {
+		raw, err := json.MarshalIndent(runs, "", "  ")
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(o.JSONFile, append(raw, '\n'), 0o644); err != nil {
+			return err
+		}
+	}
+	if o.PlotFile == "" {
 		return nil
 	}
-	raw, err := json.MarshalIndent(runs, "", "  ")
-	if err != nil {
-		return err
+	results := make([]caseResult, len(runs))
+	for i, run := range runs {
+		results[i] = caseResult{Case: fmt.Sprintf("%s at load %.2f, earned %.3f", run.Policy, run.Load, run.Result.CreditShare), Seed: run.Seed, P50Ms: run.Result.P50Ms, P99Ms: run.Result.P99Ms}
 	}
-	return os.WriteFile(o.JSONFile, append(raw, '\n'), 0o644)
+	return plot(o.PlotFile, results)
 }
 
 // String formats a run as a row of a table.
--- a/bench/main.go
+++ b/bench/main.go
@@ -22,6 +22,7 @@
 	CapacitySizes []int         `long:"capacity" description:"measure idle fleets of these sizes instead"`
 	EmulateLoads  []float64     `long:"emulate" description:"emulate a deployment on a simulated clock at these loads instead"`
 	EmulatedFile  string        `long:"emulated" description:"JSON file of the deployment to emulate; by default that of Villacrés"`
+	Policies      []string      `long:"policy" description:"policy to emulate; all by default"`
 	Demo          bool          `long:"demo" description:"short run that edits rules, withdraws a key and kills an instance"`
 }
 
--- a/emulator/baseline.go
+++ b/emulator/baseline.go
@@ -31,7 +31,7 @@
 
 // newBaseline returns a policy whose balancers choose servers by the given strategy.
 func newBaseline(s strategy) Policy {
-	return func(_ Config, _ FailureDomain, servers []placement.Server, random *rand.Rand) Balancer {
+	return func(_ Config, _ Instance, servers []placement.Server, random *rand.Rand) Balancer {
 		b := &baselineBalancer{servers: make(map[string][]placement.Server), reportedLoad: make(map[string]int)}
 		for _, server := range servers {
 			b.servers[server.Service] = append(b.servers[server.Service], server)
@@ -45,10 +45,13 @@
 func (b *baselineBalancer) Choose(_ clock.Millis, q placement.Query) (string, *placement.Refusal) {
 	var candidates []placement.Server
 	for _, server := range b.servers[q.Service] {
-		if !q.Exclude.Has(server.ID) {
+		if !q.Exclude.Has(server.ID) && q.RegionAllowed(server.Region) {
 			candidates = append(candidates, server)
 		}
 	}
+	if len(candidates) == 0 {
+		return "", &placement.Refusal{Reason: "no server may take the request", RetryAfter: clock.Second}
+	}
 	return b.pick(candidates, q).ID, nil
 }
 
--- a/emulator/config.go
+++ b/emulator/config.go
@@ -9,9 +9,10 @@
 type (
 	// Config describes a deployment and the load on it.
 	Config struct {
-		// FailureDomains lists the failure domains. Each has one entry instance,
-		// some of the servers of each service, and an equal part of the callers.
+		// FailureDomains lists the failure domains. Each has entry instances, some
+		// of the servers of each service, and an equal part of the callers.
 		FailureDomains []FailureDomain `json:"domains"`
+		Workspaces     Workspaces      `json:"workspaces"`
 		Services       []Service       `json:"services"`
 		RequestKinds   []RequestKind   `json:"kinds"`
 		// CallerDelay is the one-way network delay between callers and entry
@@ -20,6 +21,9 @@
 		CallerDelay      clock.Millis `json:"caller_delay_ms"`
 		IntraRegionDelay clock.Millis `json:"domain_delay_ms"`
 		InterRegionDelay clock.Millis `json:"region_delay_ms"`
+		// RegionLinkMbitPerS is the capacity of the link from one region to another,
+		// for the bodies of requests and responses; zero means no limit.
+		RegionLinkMbitPerS float64 `json:"region_link_mbit_per_s"`
 		// Duration is how long callers send new requests.
 		Duration clock.Millis `json:"duration_ms"`
 		// Load is the factor by which the rates of all kinds are multiplied.
@@ -36,10 +40,24 @@
 	FailureDomain struct {
 		Name   string `json:"name"`
 		Region string `json:"region"`
+		// Instances is the number of entry instances; zero means one.
+		Instances int `json:"instances"`
+		// ServerWeight is the part of each service's servers that the domain has, in
+		// relation to other domains; zero means one.
+		ServerWeight float64 `json:"server_weight"`
 	}
 
-	// Service is a group of servers with the same limits, assigned to the failure
-	// domains round robin.
+	// Workspaces describes the workspaces to which the requests belong. Each is about
+	// half as large as that of half its number.
+	Workspaces struct {
+		// Count is the number of workspaces; zero means one.
+		Count int `json:"count"`
+		// HomedEvery makes each workspace whose number is a multiple of it have one
+		// home region, which alone may serve its requests; zero means none.
+		HomedEvery int `json:"homed_every"`
+	}
+
+	// Service is a group of servers with the same limits.
 	Service struct {
 		Name    string `json:"name"`
 		Servers int    `json:"servers"`
@@ -72,6 +90,8 @@
 		Credit     float64      `json:"credit"`
 		LateCredit float64      `json:"late_credit"`
 		Idempotent bool         `json:"safe"`
+		// Bytes is the size of a request and its response together.
+		Bytes int `json:"bytes"`
 	}
 )
 
@@ -79,17 +99,17 @@
 func Villacres() Config {
 	return Config{
 		FailureDomains: []FailureDomain{
-			{"sierra-a", "sierra"}, {"costa-a", "costa"}, {"austro-a", "austro"},
-			{"sierra-b", "sierra"}, {"costa-b", "costa"}, {"austro-b", "austro"},
+			{Name: "sierra-a", Region: "sierra"}, {Name: "costa-a", Region: "costa"}, {Name: "austro-a", Region: "austro"},
+			{Name: "sierra-b", Region: "sierra"}, {Name: "costa-b", Region: "costa"}, {Name: "austro-b", Region: "austro"},
 		},
 		Services: []Service{
 			{Name: "probador", Servers: 24, Slots: 9, QueueCapacity: 9, MaxWarmObjects: 48},
 			{Name: "pedidos", Servers: 12, Slots: 3, QueueCapacity: 6, MaxWarmObjects: 48},
 		},
 		RequestKinds: []RequestKind{
-			{"fitting-view", "probador", 160, 70, 640, 233, 400, 3000, 1, 0.2, true},
-			{"frame-hold", "probador", 70, 70, 840, 306, 600, 4000, 2, 0.4, false},
-			{"lens-order", "pedidos", 55, 30, 440, 160, 300, 2000, 3, 0.6, false},
+			{"fitting-view", "probador", 160, 70, 640, 233, 400, 3000, 1, 0.2, true, 0},
+			{"frame-hold", "probador", 70, 70, 840, 306, 600, 4000, 2, 0.4, false, 0},
+			{"lens-order", "pedidos", 55, 30, 440, 160, 300, 2000, 3, 0.6, false, 0},
 		},
 		CallerDelay: 3, IntraRegionDelay: 1, InterRegionDelay: 20,
 		Duration: 32 * clock.Second, Load: 1, LoadAmplitude: 0.3, LoadPeriod: 36 * clock.Second, Seed: 1,
--- a/emulator/policy.go
+++ b/emulator/policy.go
@@ -20,7 +20,7 @@
 	}
 
 	// Policy creates the balancer of an entry instance.
-	Policy func(c Config, d FailureDomain, servers []placement.Server, random *rand.Rand) Balancer
+	Policy func(c Config, in Instance, servers []placement.Server, random *rand.Rand) Balancer
 
 	// productBalancer adapts placement.Balancer, which the product uses.
 	productBalancer struct {
@@ -47,12 +47,15 @@
 	"object hash":         newBaseline(pickByObjectHash),
 }
 
-func newProductBalancer(c Config, d FailureDomain, servers []placement.Server, random *rand.Rand) Balancer {
+func newProductBalancer(c Config, in Instance, servers []placement.Server, random *rand.Rand) Balancer {
+	d := in.Domain
 	regions := values.NewSet[string]()
 	var members []string
 	for _, other := range c.FailureDomains {
 		regions = regions.With(other.Region)
-		members = append(members, other.Name)
+		for _, member := range other.instances() {
+			members = append(members, member.Name)
+		}
 	}
 	balancer := placement.NewBalancer(placement.BalancerConfig{FailureDomain: d.Name, Region: d.Region, Regions: regions.Sorted(), ColdOverage: 1, ColdSlack: 1, Random: random})
 	limits := make(map[string]routing.Service)
@@ -60,7 +63,7 @@
 		limits[s.Name] = routing.Service{Name: s.Name, MaxConnections: 1000}
 	}
 	balancer.SetServices(limits)
-	balancer.SetFleet(placement.Fleet{Self: d.Name, Members: members})
+	balancer.SetFleet(placement.Fleet{Self: in.Name, Members: members})
 	balancer.SetServers(0, servers)
 	for _, region := range regions.Sorted() {
 		balancer.SetRoundTrip(region, 2*c.delay(d.Region, region))
--- a/emulator/simulation.go
+++ b/emulator/simulation.go
@@ -18,15 +18,23 @@
 		random    *rand.Rand
 		servers   map[string]*server
 		balancers map[string]Balancer
-		result    *Result
+		// instances holds the entry instances of each failure domain.
+		instances map[string][]Instance
+		// linkFreeAt is when each link between regions has sent what it was given.
+		linkFreeAt map[regionPair]float64
+		result     *Result
 	}
 
 	// request is a caller's request, across its first attempt and its retry.
 	request struct {
 		kind   *RequestKind
 		domain FailureDomain
-		object uint64
-		sentAt clock.Millis
+		// instance is the entry instance that the caller uses, and home the only
+		// region that may serve the request, if there is one.
+		instance string
+		home     string
+		object   uint64
+		sentAt   clock.Millis
 		// retry is set for the second attempt.
 		retry bool
 		// excluded holds the servers that the present attempt was sent to, and
@@ -52,10 +60,14 @@
 	sim := &simulation{
 		config: c, random: rand.New(rand.NewPCG(c.Seed, 0)),
 		servers: make(map[string]*server), balancers: make(map[string]Balancer), result: newResult(c),
+		instances: make(map[string][]Instance), linkFreeAt: make(map[regionPair]float64),
 	}
 	listed := sim.addServers()
 	for _, d := range c.FailureDomains {
-		sim.balancers[d.Name] = policy(c, d, listed, sim.random)
+		sim.instances[d.Name] = d.instances()
+		for _, in := range sim.instances[d.Name] {
+			sim.balancers[in.Name] = policy(c, in, listed, sim.random)
+		}
 	}
 	for i := range c.RequestKinds {
 		for _, d := range c.FailureDomains {
@@ -72,7 +84,7 @@
 	var listed []placement.Server
 	for _, service := range sim.config.Services {
 		for i := range service.Servers {
-			d := sim.config.FailureDomains[i%len(sim.config.FailureDomains)]
+			d := sim.config.domainOfServer(i, service.Servers)
 			info := placement.Server{
 				ID: fmt.Sprintf("%s-%d", service.Name, i), Service: service.Name, Address: "emulated",
 				FailureDomain: d.Name, Region: d.Region, Slots: service.Slots,
@@ -121,7 +133,11 @@
 	// Objects belong to the region of their callers; kinds of requests to the
 	// same service share them.
 	object := uint64(d.Region[0])<<32 | uint64(len(kind.Service))<<16 | uint64(sim.random.IntN(kind.ObjectsPerRegion)+1)
-	r := &request{kind: kind, domain: d, object: object, sentAt: sim.events.now, excluded: values.NewSet[string]()}
+	instances := sim.instances[d.Name]
+	r := &request{
+		kind: kind, domain: d, instance: instances[sim.random.IntN(len(instances))].Name, object: object,
+		home: sim.config.home(sim.config.Workspaces.draw(sim.random)), sentAt: sim.events.now, excluded: values.NewSet[string](),
+	}
 	sim.result.recordRequest(r)
 	sim.events.schedule(sim.config.CallerDelay, func() { sim.dispatch(r) })
 }
@@ -135,7 +151,7 @@
 		return
 	}
 	q := sim.newQuery(r, timeLeft)
-	id, refusal := sim.balancers[r.domain.Name].Choose(now, q)
+	id, refusal := sim.balancers[r.instance].Choose(now, q)
 	if refusal != nil {
 		sim.handleRefusal(r, refusal.RetryAfter)
 		return
@@ -144,7 +160,7 @@
 	r.excluded = r.excluded.With(id)
 	s := sim.servers[id]
 	oneWay := sim.config.delay(r.domain.Region, s.info.Region)
-	sim.events.schedule(oneWay, func() {
+	sim.events.schedule(oneWay+sim.linkDelay(r.domain.Region, s.info.Region, r.kind.Bytes), func() {
 		s.accept(&sim.events, sim.random, job{kind: r.kind, object: r.object, deadline: now + timeLeft, done: func(ran bool, load int) {
 			sim.result.checkLimits(s)
 			sim.events.schedule(oneWay, func() { sim.handleResponse(r, id, q, ran, load) })
@@ -156,7 +172,7 @@
 	q := placement.Query{
 		Service: r.kind.Service, Route: r.kind.Name, Object: r.object, Exclude: r.excluded, Idempotent: r.kind.Idempotent,
 		TimeLeft: timeLeft, Objective: r.kind.Objective,
-		RegionAllowed: func(string) bool { return true },
+		RegionAllowed: func(region string) bool { return r.home == "" || region == r.home },
 	}
 	q.LatencyLimit = placement.LatencyBudget{Objective: r.kind.Objective, Timeout: r.kind.Deadline, Retry: r.retry}.Limit()
 	return q
@@ -169,7 +185,7 @@
 	if !ran {
 		outcome = placement.Declined
 	}
-	sim.balancers[r.domain.Name].Done(sim.events.now, id, q, placement.Result{Outcome: outcome, Load: load, HasLoad: true})
+	sim.balancers[r.instance].Done(sim.events.now, id, q, placement.Result{Outcome: outcome, Load: load, HasLoad: true})
 	switch {
 	case ran:
 		sim.events.schedule(sim.config.CallerDelay, func() { sim.result.recordResponse(r, sim.events.now) })
