Expect unused servers to be as slow as their domain, and distrust idle connections after a loss

With 37 instances each hears of one server every eight seconds, too seldom for its own factor, which fades besides. Change: the ratio of actual to expected latency is also averaged over the servers of a service in a domain; a server that was not used lately gets that. Cause of the second: after a lost answer the other idle connections to a dead server each cost one request. They are closed now; the next request finds out on a new connection that nothing was sent. TestLostResponseClosesIdleConnections: 3 idle connections left before, 0 after.

--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -279,6 +279,50 @@
 	}
 }
 
+// TestLostResponseClosesIdleConnections has a server die with several idle connections, of
+// which the first is closed with a reset. The next request must find out on a new
+// connection that nothing of it was sent, and not be lost on another old one.
+func TestLostResponseClosesIdleConnections(t *testing.T) {
+	const connections = 4
+	var arrived sync.WaitGroup
+	arrived.Add(connections)
+	var dead atomic.Bool
+	server := listen(t, func(c net.Conn) {
+		if dead.Load() {
+			_ = c.Close()
+			return
+		}
+		go serveConn(c, func(int, string) string {
+			if dead.Load() {
+				return ""
+			}
+			arrived.Done()
+			arrived.Wait()
+			return responseTo("1", "", "body")
+		}, new(int))
+	})
+	pool := newTestPool()
+	pool.config.MaxConnections = func(string) int { return connections }
+	var wg sync.WaitGroup
+	for range connections {
+		wg.Go(func() {
+			var response fasthttp.Response
+			_, _ = pool.Do(context.Background(), server, true, testRequest("1"), &response)
+		})
+	}
+	wg.Wait()
+	time.Sleep(10 * time.Millisecond)
+	dead.Store(true)
+	var response fasthttp.Response
+	_, err := pool.Do(context.Background(), server, false, testRequest("1"), &response)
+	if !errorx.IsOfType(err, ErrResponseLost) {
+		t.Fatalf("got %v, want %s", err, ErrResponseLost)
+	}
+	if idle := len(pool.servers[server.ID].idle); idle != 0 {
+		t.Errorf("%d idle connections are left after the loss", idle)
+	}
+}
+
 // stallingServer stops answering on the connections that are open when stalled is
 // set. Connections that are opened later work.
 type stallingServer struct {
--- a/origin/pool.go
+++ b/origin/pool.go
@@ -112,7 +112,7 @@
 	}
 	if err != nil {
 		p.discard(server, c)
-		p.closeStalled(server, started, err)
+		p.closeDistrusted(server, started, err)
 		return info, err
 	}
 	c.setIdleTimeout(response)
@@ -263,10 +263,11 @@
 	p.serverConns(server).pruneIdle(func(*conn) bool { return false })
 }
 
-// closeStalled closes, after a timeout, the idle connections to a server that have not
-// been used since the given time: they may be stalled for the same reason.
-func (p *Pool) closeStalled(server placement.Server, since clock.Millis, err error) {
-	if !errorx.IsOfType(err, ErrTimeout) {
+// closeDistrusted closes, after a timeout or a lost response, the idle connections to a
+// server that have not been used since the given time: the server may be gone or silent on
+// them too. A request on a new connection then shows that without being lost.
+func (p *Pool) closeDistrusted(server placement.Server, since clock.Millis, err error) {
+	if !errorx.IsOfType(err, ErrTimeout) && !errorx.IsOfType(err, ErrResponseLost) {
 		return
 	}
 	p.mu.Lock()
--- a/placement/domain_load.go
+++ b/placement/domain_load.go
@@ -7,9 +7,15 @@
 // server are too rare to estimate its load, but reports from some server of its
 // domain are frequent. The average decays, so that servers avoided because of
 // it are tried again.
+//
+// factor is likewise the average ratio of actual to expected latency of the
+// requests to these servers. A server that this instance has not used lately is
+// expected to be as slow as the others of its domain.
 type domainLoad struct {
 	average   float64
 	updatedAt clock.Millis
+	factor    float64
+	factorAt  clock.Millis
 }
 
 const (
@@ -30,13 +36,25 @@
 	return l.average * clock.Decay(now-l.updatedAt, domainLoadTimeConstant)
 }
 
+// recordRatio adds the ratio of actual to expected latency of a request to the
+// average.
+func (l *domainLoad) recordRatio(now clock.Millis, ratio float64) {
+	l.factor = ewma(l.factorNow(now), min(ratio, maxLatencyFactor), domainLoadWeight)
+	l.factorAt = now
+}
+
+// factorNow returns the average ratio, which returns to one without samples.
+func (l *domainLoad) factorNow(now clock.Millis) float64 {
+	return 1 + (l.factor-1)*clock.Decay(now-l.factorAt, domainLoadTimeConstant)
+}
+
 // domainLoadOf returns the load of a server's service and failure domain. The
 // caller must hold the lock.
 func (b *Balancer) domainLoadOf(info Server) *domainLoad {
 	key := info.Service + "/" + info.FailureDomain
 	l, ok := b.domainLoads[key]
 	if !ok {
-		l = &domainLoad{}
+		l = &domainLoad{factor: 1}
 		b.domainLoads[key] = l
 	}
 	return l
--- a/placement/domain_load_test.go
+++ b/placement/domain_load_test.go
@@ -75,3 +75,32 @@
 		}
 	}
 }
+
+// TestDomainFactorAppliesToUnusedServers has requests take five times as long as expected
+// on all servers of a region but one, which this instance has not used for a while. It must
+// be expected to be slow too, and as fast as before once the others are.
+func TestDomainFactorAppliesToUnusedServers(t *testing.T) {
+	b := newTestBalancerOf(testServers(3))
+	b.warmUp(t, 1)
+	unused := b.servers["a1-0"]
+	answer := func(from, to clock.Millis, took clock.Millis) {
+		for now := from; now < to; now += 20 {
+			choice, refusal := b.Choose(now, onlyRegion(uint64(now)%50+1, "a"))
+			if refusal != nil {
+				continue
+			}
+			if choice.Server.ID == unused.info.ID {
+				b.Done(now, choice, Result{Outcome: Canceled})
+				continue
+			}
+			b.Done(now+took, choice, Result{Outcome: Answered, HasLoad: true})
+		}
+	}
+	answer(1000, 5000, 1500)
+	slow := unused.currentLatencyFactor(5000)
+	answer(7000, 11_000, 150)
+	fast := unused.currentLatencyFactor(11_000)
+	if slow < 1.5 || fast > 1.2 {
+		t.Errorf("the factor of the unused server is %.2f while the others are slow and %.2f afterwards", slow, fast)
+	}
+}
--- a/placement/idle.go
+++ b/placement/idle.go
@@ -29,37 +29,55 @@
 }
 
 // idleServer returns the server with a free slot in the given regions that
-// isBetter prefers, or nil if none was found. Of a large region it looks at a sample.
+// isBetter prefers, or nil if none was found. Of a large region it looks at the
+// servers that rank high for the object, so that overflow goes to the same ones
+// again, and at a sample if none of these is free.
 func (b *Balancer) idleServer(now clock.Millis, q Query, regions values.Set[string]) *candidate {
 	service := b.services[q.Service]
 	if service == nil {
 		return nil
 	}
 	var best candidate
-	found := false
 	for _, region := range service.regions {
 		if !regions.Has(region.name) || !q.RegionAllowed(region.name) {
 			continue
 		}
+		found := false
+		if len(region.servers) > fullRankSize && q.Object != 0 {
+			for _, c := range region.probe(q.Object) {
+				found = b.considerIdle(now, q, c, &best) || found
+			}
+		}
+		if found {
+			continue
+		}
 		first, count := region.sample(b.config.Random)
 		for i := range count {
 			server := region.servers[(first+i)%len(region.servers)]
-			if server.load(now) >= server.info.Slots || server.isFull(now) || !b.usable(now, q, server, true) {
-				continue
-			}
-			c := candidate{state: server, score: mixHashes(q.Object, server.idHash), warm: q.Object == 0 || server.isWarmFor(q.Object, now)}
-			b.estimate(now, q, &c)
-			if !found || b.isBetter(&c, &best) {
-				best, found = c, true
-			}
+			b.considerIdle(now, q, candidate{state: server, score: mixHashes(q.Object, server.idHash)}, &best)
 		}
 	}
-	if !found {
+	if best.state == nil {
 		return nil
 	}
 	return &best
 }
 
+// considerIdle replaces the best candidate so far if a server has a free slot and is
+// preferred. It reports whether the server may be used.
+func (b *Balancer) considerIdle(now clock.Millis, q Query, c candidate, best *candidate) bool {
+	s := c.state
+	if s.load(now) >= s.info.Slots || s.isFull(now) || !b.usable(now, q, s, true) {
+		return false
+	}
+	c.warm = q.Object == 0 || s.isWarmFor(q.Object, now)
+	b.estimate(now, q, &c)
+	if best.state == nil || b.isBetter(&c, best) {
+		*best = c
+	}
+	return true
+}
+
 // sample returns the servers of a region that are looked at for a free one, as an index
 // and a count: all of a small region, and some in a row of a large one.
 func (r *regionServers) sample(random *rand.Rand) (first, count int) {
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -161,6 +161,7 @@
 func (s *serverState) updateLatencyFactor(now clock.Millis, c *Choice, took clock.Millis) {
 	ratio := float64(took) / float64(max(c.baseLatency, 1))
 	factor := ewma(s.currentLatencyFactor(now), ratio, latencyFactorWeight)
+	s.domainLoad.recordRatio(now, ratio)
 	s.latencyFactor = min(max(factor, minLatencyFactor), maxLatencyFactor)
 	s.latencyFactorAt = now
 }
--- a/placement/region.go
+++ b/placement/region.go
@@ -150,16 +150,22 @@
 	}
 }
 
-// rankProbes fills a ranking with the usable servers that are closest behind the object's
-// places of the ring. It looks at the servers themselves only in that order.
-func (r *regionServers) rankProbes(object uint64, out *ranking, usable func(*serverState) bool) {
-	var probes [ringProbes]candidate
+// probe returns the servers that are closest behind the object's places of the ring. One
+// server may be closest to several places.
+func (r *regionServers) probe(object uint64) (probes [ringProbes]candidate) {
 	place := object
 	for i := range probes {
 		place = mixHashes(place, r.hash)
 		entry := r.at(r.position(place))
 		probes[i] = candidate{state: entry.server, score: ^(entry.hash - place)}
 	}
+	return probes
+}
+
+// rankProbes fills a ranking with the usable ones of the servers that probe returns. It
+// looks at the servers themselves only in the order of their scores.
+func (r *regionServers) rankProbes(object uint64, out *ranking, usable func(*serverState) bool) {
+	probes := r.probe(object)
 	for left := ringProbes; left > 0 && out.count < serversPerRegion; left-- {
 		closest := 0
 		for i := range left {
--- a/placement/scale_test.go
+++ b/placement/scale_test.go
@@ -123,6 +123,22 @@
 	}
 }
 
+// TestLargeListFindsWarmServer has one of the servers that rank high for an object keep it
+// warm. What does not fit elsewhere must go there, and not to any cold server of many.
+func TestLargeListFindsWarmServer(t *testing.T) {
+	const object, now = 7, 10_000
+	b, _ := newLargeBalancer(1_100)
+	region := b.services[testService].region("a")
+	warm := region.probe(object)[ringProbes/2].state
+	warm.recordObject(object, now)
+	for range 50 {
+		found := b.idleServer(now, onlyRegion(object, "a"), values.NewSet("a"))
+		if found == nil || found.state != warm {
+			t.Fatalf("got %+v, want server %s", found, warm.info.ID)
+		}
+	}
+}
+
 // TestRingPosition checks the search in the ring against a search from its start.
 func TestRingPosition(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/placement/server.go
+++ b/placement/server.go
@@ -111,7 +111,7 @@
 	minLatencyFactor    = 0.7
 	maxLatencyFactor    = 8.0
 	// A server that has got no request for latencyFactorHold is tried again: from then
-	// on its latency factor returns to one with latencyFactorTimeConstant.
+	// on its latency factor becomes that of its domain with latencyFactorTimeConstant.
 	latencyFactorHold         = 1500 * clock.Millis(1)
 	latencyFactorTimeConstant = 500 * clock.Millis(1)
 	// onceProbeDelay is how long after a lost response a request that runs at most once
@@ -196,11 +196,12 @@
 	return s.inFlight == 0 && now >= s.backoffUntil
 }
 
-// currentLatencyFactor returns the latency factor, which returns to one some time after
-// the last sample.
+// currentLatencyFactor returns the latency factor, which becomes that of similar servers
+// some time after the last sample.
 func (s *serverState) currentLatencyFactor(now clock.Millis) float64 {
 	unused := max(0, now-s.latencyFactorAt-latencyFactorHold)
-	return 1 + (s.latencyFactor-1)*clock.Decay(unused, latencyFactorTimeConstant)
+	usual := s.domainLoad.factorNow(now)
+	return usual + (s.latencyFactor-usual)*clock.Decay(unused, latencyFactorTimeConstant)
 }
 
 func (s *serverState) recordFailure(now clock.Millis) {
