--- a/fleet/members.go
+++ b/fleet/members.go
@@ -124,6 +124,20 @@
 	return m.record(hash, info, at)
 }
 
+// RecordRegistered records instances that have an entry in the platform's store and were
+// not heard here yet. They may be running, so they keep their share of the limits for a
+// while, but do not count as alive.
+func (m *Members) RecordRegistered(list []*wire.FleetInstance, now clock.Millis) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	unheard := now - aliveTimeoutFor(len(list)+1)
+	for _, info := range list {
+		if _, known := m.others[info.GetInstance()]; !known {
+			m.record(entryHash(info), info, unheard)
+		}
+	}
+}
+
 // record records an entry with its hash. The caller must hold the lock.
 func (m *Members) record(hash uint64, info *wire.FleetInstance, at clock.Millis) bool {
 	if info.GetInstance() == "" || info.GetInstance() == m.self.GetInstance() {
--- a/fleet/members_test.go
+++ b/fleet/members_test.go
@@ -89,3 +89,22 @@
 		}
 	}
 }
+
+// TestRegisteredInstancesHoldShares checks that instances that are registered and unheard
+// keep their share of the limits for a while, do not count as alive, and do not replace
+// what is known of one that was heard.
+func TestRegisteredInstancesHoldShares(t *testing.T) {
+	const now = 100 * clock.Second
+	m := NewMembers(&wire.FleetInstance{Instance: "self"}, 5*clock.Second)
+	m.Record(&wire.FleetInstance{Instance: "heard", Ready: true}, now-100)
+	m.RecordRegistered([]*wire.FleetInstance{{Instance: "self"}, {Instance: "heard"}, {Instance: "unheard"}}, now)
+	if holders := m.ShareHolders(now); len(holders) != 3 {
+		t.Errorf("%v hold shares, want all three", holders)
+	}
+	if alive := m.Alive(now); len(alive) != 1 || !alive[0].GetReady() {
+		t.Errorf("%v count as alive, want the one that was heard, as it was heard", alive)
+	}
+	if holders := m.ShareHolders(now + 5*clock.Second); len(holders) != 2 {
+		t.Errorf("%v hold shares after 5 s, want the one that was heard and this one", holders)
+	}
+}
--- a/steering/join.go
+++ b/steering/join.go
@@ -25,11 +25,10 @@
 	joinTimeout = 3 * time.Second
 )
 
-// join registers this instance and discovers its peers through the platform's store.
-// While the store is unavailable, it asks the configured seeds instead. Requests are
-// refused until peers have been asked, because the instance must know how many others
-// share the fleet-wide limits, or until joinTimeout has passed. Registration and
-// discovery are retried until both have succeeded.
+// join registers this instance and reads the list of the others, which may share the
+// fleet-wide limits with it; from then on it serves. While the store is unavailable, it
+// asks the configured seeds instead, until one has answered or joinTimeout has passed.
+// Registration and discovery are retried until both have succeeded.
 func (p process) join(ctx context.Context) {
 	startedAt := time.Now()
 	registered := false
@@ -38,7 +37,6 @@
 			registered = p.register(ctx)
 		}
 		if registered && p.discover(ctx) {
-			p.markJoined("the platform's list")
 			return
 		}
 		if p.askPeers(ctx, p.LiveSettings.get().Seeds) > 0 {
@@ -99,8 +97,10 @@
 	return true
 }
 
-// discover sends gossip requests to up to joinFanout registered instances, chosen at
-// random. It reports whether the list of instances could be read.
+// discover reads the list of the registered instances, lets this one serve, and sends
+// gossip requests to up to joinFanout of them, chosen at random. It reports whether the
+// list could be read. Until peers have answered, this instance takes its share of the
+// limits as one of all that are registered.
 func (p process) discover(ctx context.Context) bool {
 	listCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
@@ -112,6 +112,8 @@
 		p.Log.Warn("listing the registered instances failed", "error", err.Error())
 		return false
 	}
+	p.Members.RecordRegistered(list, clock.BootTime{}.Now())
+	p.markJoined("the platform's list")
 	addresses := make([]string, 0, len(list))
 	for _, info := range list {
 		addresses = append(addresses, info.GetPeerAddress())
