Rank all servers of regions with up to 512

A ring gives some servers half as much again as the mean, and a server there keeps eight objects warm. Change: all of up to 512 servers are ranked; the ring serves larger regions.

--- a/placement/region.go
+++ b/placement/region.go
@@ -43,7 +43,7 @@
 	// fullRankSize is the largest number of servers that are all ranked for each
 	// object. Among more, each object looks at ringProbes places of the ring
 	// (Appleton and O'Reilly, Multi-probe consistent hashing, 2015).
-	fullRankSize = 64
+	fullRankSize = 512
 	ringProbes   = 21
 	// ringWalk is how many servers from its first place on an object tries in addition
 	// if it found none that may be used.
