Call what instances learn from servers observations, and say where slopes end

Cause: "clues" is a picture, and the comment on a region's servers promised constant work also where up to 512 are ranked.

--- a/fleet/gossip.go
+++ b/fleet/gossip.go
@@ -24,18 +24,18 @@
 		// OnPeerRestart is called with the address of a peer that has restarted,
 		// because connections to its former process are dead.
 		OnPeerRestart func(address string)
-		// Clues is what this instance and its peers learn from backend servers; it may
+		// Observations is what this instance and its peers learn from backend servers; it may
 		// be nil.
-		Clues Clues
+		Observations Observations
 	}
 
-	// Clues is what an instance learns from backend servers before the platform does.
-	Clues interface {
+	// Observations is what an instance learns from backend servers before the platform does.
+	Observations interface {
 		// Get returns what is known here.
-		Get() *wire.Clues
+		Get() *wire.Observations
 		// Record adds what a peer knows. The peer stated the ages at most the transit
 		// time ago.
-		Record(peer string, received *wire.Clues, transit clock.Millis)
+		Record(peer string, received *wire.Observations, transit clock.Millis)
 	}
 
 	// Gossip exchanges table updates and heartbeats with peers. In each round
@@ -173,7 +173,7 @@
 func (g *Gossip) exchange(ctx context.Context, address string, includeMissing bool) bool {
 	ctx, cancel := context.WithTimeout(ctx, gossipTimeout)
 	defer cancel()
-	unknown, ok := g.call(ctx, address, &wire.Gossip{Sender: g.config.Members.Self(), Tables: g.digests(includeMissing), Clues: g.clues()})
+	unknown, ok := g.call(ctx, address, &wire.Gossip{Sender: g.config.Members.Self(), Tables: g.digests(includeMissing), Observations: g.observations()})
 	if ok && len(unknown) > 0 {
 		_, ok = g.call(ctx, address, &wire.Gossip{Sender: g.config.Members.Self(), Unknown: unknown})
 	}
@@ -255,22 +255,22 @@
 			table.Apply(delta, askedAt-clock.Millis(max(delta.GetAgeMs(), 0)))
 		}
 	}
-	g.recordClues(answer.GetSender(), answer.GetClues(), g.config.Clock.Now()-askedAt)
+	g.recordObservations(answer.GetSender(), answer.GetObservations(), g.config.Clock.Now()-askedAt)
 	return unknown
 }
 
-// clues returns what this instance has learned from backend servers.
-func (g *Gossip) clues() *wire.Clues {
-	if g.config.Clues == nil {
+// observations returns what this instance has learned from backend servers.
+func (g *Gossip) observations() *wire.Observations {
+	if g.config.Observations == nil {
 		return nil
 	}
-	return g.config.Clues.Get()
+	return g.config.Observations.Get()
 }
 
-// recordClues records what a peer has learned from backend servers.
-func (g *Gossip) recordClues(sender *wire.FleetInstance, received *wire.Clues, transit clock.Millis) {
-	if g.config.Clues != nil && received != nil {
-		g.config.Clues.Record(sender.GetInstance(), received, transit)
+// recordObservations records what a peer has learned from backend servers.
+func (g *Gossip) recordObservations(sender *wire.FleetInstance, received *wire.Observations, transit clock.Millis) {
+	if g.config.Observations != nil && received != nil {
+		g.config.Observations.Record(sender.GetInstance(), received, transit)
 	}
 }
 
@@ -300,7 +300,7 @@
 		g.config.OnPeerRestart(request.GetSender().GetPeerAddress())
 	}
 	g.recordPeerAges(request.GetTables(), now)
-	g.recordClues(request.GetSender(), request.GetClues(), 0)
+	g.recordObservations(request.GetSender(), request.GetObservations(), 0)
 	answer := &wire.GossipAnswer{Sender: g.config.Members.Self(), Members: g.config.Members.Entries(request.GetUnknown(), now), Tables: g.digests(true)}
 	if len(request.GetUnknown()) == 0 {
 		answer.States, answer.Ages = g.config.Members.Heartbeats(now)
@@ -321,6 +321,6 @@
 		go g.fetch(context.WithoutCancel(ctx), request.GetSender().GetPeerAddress())
 	}
 	answer.News = encodeUpdates(updates)
-	answer.Clues = g.clues()
+	answer.Observations = g.observations()
 	return answer
 }
--- a/placement/region.go
+++ b/placement/region.go
@@ -9,9 +9,9 @@
 )
 
 type (
-	// regionServers holds the servers of one service in one region. Its work for a
-	// request or for a changed server does not grow with their number, but for moving
-	// the entries of a sorted array.
+	// regionServers holds the servers of one service in one region. Beyond
+	// fullRankSize its work for a request does not grow with their number, and that for
+	// a changed server only by moving the entries of a sorted array.
 	regionServers struct {
 		name    string
 		hash    uint64
--- a/steering/clues.go
+++ b/steering/observations.go
@@ -8,8 +8,8 @@
 	"github.com/rcrowley/go-metrics"
 )
 
-// clues implements fleet.Clues with what this instance has learned from backend servers.
-type clues struct {
+// observations implements fleet.Observations with what this instance has learned from backend servers.
+type observations struct {
 	clock    clock.Clock
 	crashes  *placement.CrashTracker
 	balancer *placement.Balancer
@@ -17,10 +17,10 @@
 	registry metrics.Registry
 }
 
-// Get implements fleet.Clues.
-func (c *clues) Get() *wire.Clues {
+// Get implements fleet.Observations.
+func (c *observations) Get() *wire.Observations {
 	now := c.clock.Now()
-	out := &wire.Clues{}
+	out := &wire.Observations{}
 	for _, q := range c.crashes.Quarantined(now) {
 		out.Crashing = append(out.Crashing, &wire.CrashingRequest{Fingerprint: uint64(q.Fingerprint), AgeMs: int64(q.Age)})
 	}
@@ -30,8 +30,8 @@
 	return out
 }
 
-// Record implements fleet.Clues.
-func (c *clues) Record(from string, received *wire.Clues, transit clock.Millis) {
+// Record implements fleet.Observations.
+func (c *observations) Record(from string, received *wire.Observations, transit clock.Millis) {
 	now := c.clock.Now()
 	for _, r := range received.GetCrashing() {
 		c.crashes.Quarantine(now, placement.QuarantinedRequest{Fingerprint: placement.Fingerprint(r.GetFingerprint()), Age: age(r.GetAgeMs(), transit)})
--- a/steering/wiring.go
+++ b/steering/wiring.go
@@ -132,7 +132,7 @@
 		Members:       members,
 		Tables:        []*fleet.Replica{state.Rules, state.Servers},
 		OnPeerRestart: network.Disconnect,
-		Clues:         &clues{clock: c, crashes: crashes, balancer: balancer, log: log, registry: registry},
+		Observations:  &observations{clock: c, crashes: crashes, balancer: balancer, log: log, registry: registry},
 	})
 	state.OnRulesChange(g.NotifyNeighbors)
 	return g
