Read a connection's word on its server before giving the connection back

The value is taken before now. The same run failed TestMemoryOfEndlessResponses: an honest response was given 400 ms beside 50 servers that send without end under the race detector on a busy machine. What is tested is that it gets memory, so it has 5 s; all bounds on memory are as they were. Ruled out: other readers of the flag (only exchange writes it, before the put).

--- a/origin/bad_server_test.go
+++ b/origin/bad_server_test.go
@@ -136,6 +136,7 @@
 	honest.ID = "honest"
 	for range 20 {
 		request := testRequest("1")
+		request.TimeLeft = 5 * clock.Second
 		request.Hold = memory.Hold()
 		var response fasthttp.Response
 		if _, err := pool.Do(context.Background(), honest, true, request, &response); err != nil || len(response.Body()) != 20_000 {
--- a/origin/pool.go
+++ b/origin/pool.go
@@ -116,8 +116,8 @@
 		return info, err
 	}
 	c.setIdleTimeout(response)
-	p.put(server, c, reusable && !c.serverLeaving)
-	if c.serverLeaving {
+	p.put(server, c, reusable && !info.Leaving)
+	if info.Leaving {
 		p.closeIdle(server)
 	}
 	return p.responseInfo(info, response), nil
