Send whole tables only to peers inside a skipped range of versions

Change: the log goes on; only the versions that the full table skipped are noted, and only a peer strictly between them may hold rows that came and went, so only that one gets the whole table.

--- a/fleet/replica.go
+++ b/fleet/replica.go
@@ -4,6 +4,7 @@
 package fleet
 
 import (
+	"slices"
 	"sort"
 	"sync"
 
@@ -25,14 +26,20 @@
 	// from it.
 	log      []*wire.TableRow
 	logFloor int64
-	version  int64
-	asOf     clock.Millis
-	known    bool
+	// gaps are the ranges of versions that were skipped by a full table. A peer inside
+	// one may hold rows that came and went there, which the log does not show.
+	gaps    []versionGap
+	version int64
+	asOf    clock.Millis
+	known   bool
 	// peersAsOf is the time as of which the platform confirmed the most recent
 	// copy of a peer.
 	peersAsOf clock.Millis
 }
 
+// versionGap is a range of versions, without its two ends.
+type versionGap struct{ after, before int64 }
+
 // maxLogRows bounds the changes kept for peers that lag slightly behind.
 const maxLogRows = 512
 
@@ -99,9 +106,10 @@
 		return false, nil, true
 	}
 	first := !r.known
-	if delta.GetFull() {
-		// A full table does not tell which rows were removed on the way.
+	if first {
 		r.logFloor = delta.GetVersion()
+	} else if delta.GetFull() && delta.GetVersion() > r.version {
+		r.gaps = append(r.gaps, versionGap{after: r.version, before: delta.GetVersion()})
 	}
 	rows := delta.GetRows()
 	if delta.GetFull() {
@@ -159,6 +167,16 @@
 	}
 	r.logFloor = max(r.logFloor, r.log[extra-1].GetVersion())
 	r.log = append([]*wire.TableRow(nil), r.log[extra:]...)
+	r.gaps = slices.DeleteFunc(r.gaps, func(gap versionGap) bool { return gap.before <= r.logFloor })
+}
+
+// covers reports whether the log holds all changes after a version. The caller must hold
+// the lock.
+func (r *Replica) covers(version int64) bool {
+	if version == 0 || version < r.logFloor {
+		return false
+	}
+	return !slices.ContainsFunc(r.gaps, func(gap versionGap) bool { return gap.after < version && version < gap.before })
 }
 
 // DeltaSince returns the changes after a peer's version, or the full table if the log
@@ -171,7 +189,7 @@
 		return nil
 	}
 	delta := &wire.TableDelta{Table: r.name, Since: version, Version: r.version, AgeMs: int64(now - r.asOf)}
-	if version < r.logFloor || version == 0 {
+	if !r.covers(version) {
 		delta.Full = true
 		for _, row := range r.rows {
 			delta.Rows = append(delta.Rows, row)
--- a/fleet/replica_test.go
+++ b/fleet/replica_test.go
@@ -88,6 +88,20 @@
 	}
 }
 
+// TestFullTableKeepsLog checks that peers that were up to date before a full table still get
+// the changes only, and not the whole table.
+func TestFullTableKeepsLog(t *testing.T) {
+	r := NewReplica("t", func([]string) {})
+	r.Apply(&wire.TableDelta{Version: 1, Full: true, Rows: []*wire.TableRow{row("a", 1), row("b", 1)}}, 0)
+	r.Apply(&wire.TableDelta{Since: 1, Version: 2, Rows: []*wire.TableRow{row("c", 2)}}, 0)
+	r.Apply(&wire.TableDelta{Version: 9, Full: true, Rows: []*wire.TableRow{row("a", 1), row("d", 8)}}, 0)
+	for version, full := range map[int64]bool{1: false, 2: false, 3: true, 8: true, 9: false} {
+		if delta := r.DeltaSince(version, 0); delta.GetFull() != full {
+			t.Errorf("a peer at version %d gets the full table: %v, want %v", version, delta.GetFull(), full)
+		}
+	}
+}
+
 // TestReplicasAgree lets replicas learn the changes of a table from the platform and
 // from each other in any order. A replica at a version must hold exactly the rows of
 // that version.
