Catch SIGHUP before anything else

Change: the command catches SIGHUP first and hands the signals to steering.Run. What is left are the milliseconds before main. Test: TestHangupRightAfterStart, which guards it (it passes on the code before too, for the listeners open within a millisecond of the old place). The soak now says how a process ended. Ruled out: memory (no kill in the kernel's log at that time), a panic (none in the log).

--- a/command/cmd_steer.go
+++ b/command/cmd_steer.go
@@ -22,8 +22,11 @@
 	NodeFile string `long:"node" value-name:"FILE" description:"settings file written by the platform; by default the file that the environment names"`
 }
 
-// Execute runs the entry instance until SIGTERM or SIGINT.
+// Execute runs the entry instance until SIGTERM or SIGINT. SIGHUP is caught first of all,
+// for it may come at any moment and would end a process that does not catch it yet.
 func (o *steerOptions) Execute([]string) error {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	path := o.NodeFile
 	if path == "" {
 		path = os.Getenv(platform.NodeFileVariable)
@@ -34,7 +37,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	if err := steering.Run(ctx, adapter, o.env.Stdout); err != nil {
+	if err := steering.Run(ctx, adapter, hangups, o.env.Stdout); err != nil {
 		return errFailed.Wrap(err, "running the entry instance")
 	}
 	return nil
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -300,7 +300,7 @@
 			if time.Now().After(deadline) {
 				f.t.Fatalf("instance %s does not accept connections", in.name)
 			}
-			time.Sleep(50 * time.Millisecond)
+			time.Sleep(time.Millisecond)
 		}
 	}
 }
--- a/soak/notice_test.go
+++ b/soak/notice_test.go
@@ -221,14 +221,19 @@
 	return false
 }
 
-// endedInstances returns the instances whose processes have ended by themselves.
+// endedInstances describes the instances whose processes have ended by themselves, each
+// with how it ended. No restart may be running.
 func (f *fleet) endedInstances() []string {
 	var ended []string
 	for _, in := range f.instances {
 		raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", in.pid()))
-		if err != nil || strings.Contains(string(raw), ") Z ") {
-			ended = append(ended, in.name)
+		if err == nil && !strings.Contains(string(raw), ") Z ") {
+			continue
 		}
+		in.mu.Lock()
+		_ = in.cmd.Wait()
+		ended = append(ended, fmt.Sprintf("%s (pid %d, %v)", in.name, in.cmd.Process.Pid, in.cmd.ProcessState))
+		in.mu.Unlock()
 	}
 	return ended
 }
--- a/soak/settings_test.go
+++ b/soak/settings_test.go
@@ -71,3 +71,21 @@
 	}
 	return false
 }
+
+// TestHangupRightAfterStart sends SIGHUP as soon as an instance listens. It must not end the
+// process, which may have just begun to run.
+func TestHangupRightAfterStart(t *testing.T) {
+	f := newFleet(t, deployment{domains: []domain{{"only", "one"}}, instances: 1, servers: 1})
+	in := f.instances[0]
+	for range 10 {
+		in.restart(t, syscall.SIGKILL, 0)
+		f.waitListening()
+		for range 3 {
+			in.signal(syscall.SIGHUP)
+		}
+	}
+	time.Sleep(300 * time.Millisecond)
+	if ended := f.endedInstances(); len(ended) > 0 {
+		t.Fatalf("%v ended by themselves", ended)
+	}
+}
--- a/steering/reload.go
+++ b/steering/reload.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"os"
-	"os/signal"
 	"reflect"
 	"runtime/debug"
 	"sync/atomic"
@@ -33,8 +32,7 @@
 
 // watchSettings reloads the settings on SIGHUP and periodically, until the context ends.
 // A reload does not interrupt requests in progress.
-func (p process) watchSettings(ctx context.Context, hangups chan os.Signal) {
-	defer signal.Stop(hangups)
+func (p process) watchSettings(ctx context.Context, hangups <-chan os.Signal) {
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	for {
--- a/steering/run.go
+++ b/steering/run.go
@@ -8,8 +8,6 @@
 	"io"
 	"net"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/bulrushferry/bulrushferry/clock"
@@ -82,21 +80,22 @@
 )
 
 // Run runs an entry instance until the context ends, and then shuts it down gracefully.
-func Run(ctx context.Context, adapter Adapter, logOutput io.Writer) error {
+// It looks for changed settings when a signal arrives on hangups.
+func Run(ctx context.Context, adapter Adapter, hangups <-chan os.Signal, logOutput io.Writer) error {
 	setMemoryLimit(adapter.Settings)
 	c, err := newContainer(adapter, logOutput)
 	if err != nil {
 		return err
 	}
 	var runErr error
-	if err := c.Invoke(func(p process) { runErr = p.run(ctx) }); err != nil {
+	if err := c.Invoke(func(p process) { runErr = p.run(ctx, hangups) }); err != nil {
 		return err
 	}
 	return runErr
 }
 
 // run starts all components, waits until the context ends and shuts down.
-func (p process) run(ctx context.Context) error {
+func (p process) run(ctx context.Context, hangups <-chan os.Signal) error {
 	listener, err := listen(p.Adapter.Settings.CallerAddress)
 	if err != nil {
 		return err
@@ -114,8 +113,6 @@
 	go p.RateLimiter.Run(background)
 	go p.refreshPeriodically(background)
 	go func() { _ = p.Gateway.Serve(listener) }()
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
 	go p.watchSettings(background, hangups)
 	p.Log.Info("entry instance started", "incarnation", p.Members.Self().GetIncarnation(), "callers", p.Adapter.Settings.CallerAddress)
 	<-ctx.Done()
