Say why no server may take a request, and count members less often

Expired notices were looked for at each changed row, now once a minute. Reading the list of instances at the start no longer goes over all members for each.

Ruled out: the new counts slow a choice.

--- a/emulator/layout.go
+++ b/emulator/layout.go
@@ -39,7 +39,6 @@
 	for _, d := range c.FailureDomains {
 		total += d.weight()
 	}
-	// Neighboring indexes belong to different domains as far as possible.
 	point := (float64(index) + 0.5) / float64(servers) * total
 	for _, d := range c.FailureDomains {
 		if point -= d.weight(); point < 0 {
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -28,7 +28,15 @@
 		// entries holds the known membership entries by their hashes. Earlier
 		// entries of an instance are kept, because one that becomes ready again
 		// is described by an earlier entry.
-		entries map[uint64]*wire.FleetInstance
+		entries  map[uint64]*wire.FleetInstance
+		majority majority
+	}
+
+	// majority is a result of InMajority and the time for which it holds unless a member
+	// is recorded. The zero value holds at no time.
+	majority struct {
+		in          bool
+		from, until clock.Millis
 	}
 
 	// member is another instance with its latest entry.
@@ -132,10 +140,13 @@
 	defer m.mu.Unlock()
 	unheard := now - aliveTimeoutFor(len(list)+1)
 	for _, info := range list {
-		if _, known := m.others[info.GetInstance()]; !known {
-			m.record(entryHash(info), info, unheard)
+		name := info.GetInstance()
+		if _, known := m.others[name]; known || name == "" || name == m.self.GetInstance() {
+			continue
 		}
+		m.others[name] = &member{info: info, hash: entryHash(info), heardAt: unheard}
 	}
+	m.majority = majority{}
 }
 
 // record records an entry with its hash. The caller must hold the lock.
@@ -151,6 +162,7 @@
 		m.removeSilent(at)
 	}
 	m.others[info.GetInstance()] = &member{info: info, hash: hash, heardAt: at}
+	m.majority = majority{}
 	return ok && old.info.GetIncarnation() != info.GetIncarnation()
 }
 
@@ -261,14 +273,28 @@
 
 // InMajority reports whether this instance has heard lately from at least half of
 // the fleet, itself included. Instances that have stopped gracefully or have been
-// silent for majorityWindow do not count.
+// silent for majorityWindow do not count. The members are counted only after one was
+// recorded or reached a timeout, since each request asks while the store is unavailable.
 func (m *Members) InMajority(now clock.Millis) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	heard, all := 1, 1
+	if now < m.majority.from || now >= m.majority.until {
+		m.majority = m.countMajority(now)
+	}
+	return m.majority.in
+}
+
+// countMajority works out the result of InMajority. The caller must hold the lock.
+func (m *Members) countMajority(now clock.Millis) majority {
+	heard, all, until := 1, 1, now+majorityWindow
 	alive := aliveTimeoutFor(len(m.others) + 1)
 	for _, other := range m.others {
 		age := now - other.heardAt
+		for _, timeout := range []clock.Millis{alive, majorityWindow} {
+			if age < timeout {
+				until = min(until, other.heardAt+timeout)
+			}
+		}
 		if age >= majorityWindow || (other.info.GetStopping() && age >= alive) {
 			continue
 		}
@@ -277,7 +303,7 @@
 			heard++
 		}
 	}
-	return 2*heard >= all
+	return majority{in: 2*heard >= all, from: now, until: until}
 }
 
 // Heartbeats returns, to be sent to a peer, the entry hashes of the other instances
--- a/fleet/members_test.go
+++ b/fleet/members_test.go
@@ -61,6 +61,15 @@
 			if got := m.InMajority(now); got != c.want {
 				t.Errorf("InMajority is %v, want %v", got, c.want)
 			}
+			for later := now; later < now+70*clock.Second; later += 100 {
+				if got, want := m.InMajority(later), m.countMajority(later).in; got != want {
+					t.Fatalf("InMajority is %v after %d ms, want %v", got, later-now, want)
+				}
+			}
+			m.Record(&wire.FleetInstance{Instance: "0"}, now+70*clock.Second)
+			if !m.InMajority(now + 70*clock.Second) {
+				t.Error("not in the majority with the one instance that runs")
+			}
 		})
 	}
 }
--- a/origin/bad_server_test.go
+++ b/origin/bad_server_test.go
@@ -250,7 +250,7 @@
 		received <- got
 	})
 	request := testRequest("1")
-	request.MaySend = func() bool { return false }
+	request.Withhold = func() string { return "the server left" }
 	var response fasthttp.Response
 	_, err := newTestPool().Do(context.Background(), server, false, request, &response)
 	if !errorx.IsOfType(err, ErrWithheld) || OutcomeOf(ResponseInfo{}, 0, err) != placement.Withheld {
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -92,7 +92,7 @@
 	source.Header.Set("X-Private", "1")
 	source.Header.Set("X-Public", "1")
 	source.Header.Set("Request-Id", id)
-	return &Request{ID: id, Pin: "s", Workspace: "w", TimeLeft: 400, Source: source, MaySend: func() bool { return true }}
+	return &Request{ID: id, Pin: "s", Workspace: "w", TimeLeft: 400, Source: source, Withhold: func() string { return "" }}
 }
 
 // responseTo returns a complete, signed response to the request with the given id.
--- a/origin/pool.go
+++ b/origin/pool.go
@@ -98,9 +98,9 @@
 		p.discard(server, c)
 		return ResponseInfo{}, ErrUnreachable.Wrap(err, "setting the deadline")
 	}
-	if !request.MaySend() {
+	if reason := request.Withhold(); reason != "" {
 		p.put(server, c, true)
-		return ResponseInfo{}, ErrWithheld.New("server %s or this instance may no longer serve the request", server.ID)
+		return ResponseInfo{}, ErrWithheld.New("nothing was sent to server %s: %s", server.ID, reason)
 	}
 	started := p.config.Clock.Now()
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
--- a/origin/request.go
+++ b/origin/request.go
@@ -23,9 +23,9 @@
 	Source *fasthttp.Request
 	// Hold is the memory that the response's body takes.
 	Hold *http1.Hold
-	// MaySend is called right before the request is sent. If it returns false, nothing
+	// Withhold is called right before the request is sent. If it returns a reason, nothing
 	// is sent.
-	MaySend func() bool
+	Withhold func() (reason string)
 }
 
 // hopByHopHeaders concern a single connection and are not forwarded.
--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -56,6 +56,8 @@
 		domainLoads map[string]*domainLoad
 		roundTrips  map[string]clock.Millis
 		notices     notices
+		// noticesPrunedAt is when expired notices were last removed.
+		noticesPrunedAt clock.Millis
 		// fleetVersion counts the changes of the list of instances.
 		fleetVersion int
 		// rankings and selected are used again for each request.
@@ -122,15 +124,15 @@
 	b.UpdateServers(now, list, removed)
 }
 
-// UpdateServers adds or changes servers and removes others, by their IDs. The rest of the
-// list stays as it is.
+// UpdateServers adds or changes servers and removes others, by their IDs, of which each may
+// occur once. The rest of the list stays as it is.
 func (b *Balancer) UpdateServers(now clock.Millis, changed []Server, removed []string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	services := b.servicesOf(changed)
 	for _, id := range removed {
 		if s, ok := b.servers[id]; ok {
-			services = withMember(services, s.info.Service)
+			services = services.With(s.info.Service)
 			b.ungroup(s)
 			b.notices.unlist(now, s.info.incarnation())
 			delete(b.servers, id)
@@ -140,12 +142,12 @@
 	for i, info := range changed {
 		server := b.upsertServer(now, info)
 		if regrouped[i] {
-			services = withMember(services, info.Service)
+			services = services.With(info.Service)
 			b.group(server)
 		}
 	}
 	b.sortRings(services)
-	b.notices.prune(now)
+	b.pruneNotices(now)
 	b.replan(services)
 	b.listReceived = b.listReceived || len(changed) > 0
 }
@@ -155,7 +157,7 @@
 	services := values.NewSet[string]()
 	for _, info := range changed {
 		if old, ok := b.servers[info.ID]; ok && !old.info.isGroupedLike(info) {
-			services = withMember(services, old.info.Service)
+			services = services.With(old.info.Service)
 		}
 	}
 	return services
@@ -175,14 +177,6 @@
 	return regrouped
 }
 
-// withMember returns a set with a member, which is the same set if it has the member.
-func withMember(set values.Set[string], member string) values.Set[string] {
-	if set.Has(member) {
-		return set
-	}
-	return set.With(member)
-}
-
 // upsertServer adds a server or updates its listed properties, and returns its state. A
 // server with a new start time or address starts with fresh state.
 func (b *Balancer) upsertServer(now clock.Millis, info Server) *serverState {
@@ -265,7 +259,7 @@
 		if s.evacuated {
 			s.coldUntil = max(s.coldUntil, now+b.limits[s.info.Service].ColdStart)
 		}
-		services = withMember(services, s.info.Service)
+		services = services.With(s.info.Service)
 		region := b.services[s.info.Service].region(s.info.Region)
 		region.slots -= s.acceptedSlots
 		b.accept(s)
--- a/placement/candidates.go
+++ b/placement/candidates.go
@@ -1,6 +1,11 @@
 package placement
 
-import "github.com/bulrushferry/bulrushferry/clock"
+import (
+	"cmp"
+	"slices"
+
+	"github.com/bulrushferry/bulrushferry/clock"
+)
 
 // rankCandidates returns the few servers that may serve an object, starting
 // with those of the region that ranks first for it. A strict search leaves out
@@ -20,19 +25,10 @@
 			b.rankings = append(b.rankings, ranking{region: region, score: service.plan.score(object, region.name, region.hash)})
 		}
 	}
-	sortRankings(b.rankings)
+	slices.SortStableFunc(b.rankings, func(x, y ranking) int { return cmp.Compare(y.score, x.score) })
 	return b.selectCandidates(now, q, object, strict)
 }
 
-// sortRankings sorts the rankings of a few regions by descending score.
-func sortRankings(rankings []ranking) {
-	for i := 1; i < len(rankings); i++ {
-		for j := i; j > 0 && rankings[j].score > rankings[j-1].score; j-- {
-			rankings[j], rankings[j-1] = rankings[j-1], rankings[j]
-		}
-	}
-}
-
 // selectCandidates returns the servers of the ranked regions that serve an object, as many
 // as the fanout of the first region with a usable server: up to two of that region and one
 // of each following one.
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -101,9 +101,6 @@
 	// probeInterval is the interval of the requests of a route that are sent although
 	// they are expected to take too long at a server with a free slot.
 	probeInterval = clock.Second
-	// pauseSpreadDivisor is the part of a pause, as a divisor, over which the callers
-	// that were refused because of it are spread when it ends.
-	pauseSpreadDivisor = 4
 )
 
 // Choose assigns a request to the server with the shortest expected latency
@@ -114,10 +111,7 @@
 	candidates := b.candidates(now, q)
 	best := b.pick(now, q, candidates)
 	if best == nil {
-		if refusal := b.pauseRefusal(now, q); refusal != nil {
-			return nil, refusal
-		}
-		return nil, &Refusal{Reason: "no backend server of service " + q.Service + " may take the request", RetryAfter: noServerRetryAfter}
+		return nil, b.refuseWithoutServer(now, q)
 	}
 	s := best.state
 	if !b.isInTime(now, q, best) {
--- a/placement/notice.go
+++ b/placement/notice.go
@@ -50,6 +50,7 @@
 	// noticeRetention is how long the notice of an unlisted server is kept. An entry
 	// that lapsed during an outage of the platform's store is back before that.
 	noticeRetention = 10 * 60 * clock.Second
+	pruneInterval   = 60 * clock.Second
 )
 
 func (s Server) incarnation() Incarnation {
@@ -80,11 +81,17 @@
 	found.unlisted, found.unlistedAt = true, now
 }
 
-// prune removes the notices of servers that have not been listed for noticeRetention.
-func (n notices) prune(now clock.Millis) {
-	for i, found := range n {
+// pruneNotices removes the notices of servers that have not been listed for
+// noticeRetention. It looks for them once in each pruneInterval. The caller must hold the
+// lock.
+func (b *Balancer) pruneNotices(now clock.Millis) {
+	if now-b.noticesPrunedAt < pruneInterval {
+		return
+	}
+	b.noticesPrunedAt = now
+	for i, found := range b.notices {
 		if found.unlisted && now-found.unlistedAt >= noticeRetention {
-			delete(n, i)
+			delete(b.notices, i)
 		}
 	}
 }
@@ -153,13 +160,18 @@
 }
 
 // MarkGone records that another server answered at a server's address. The server gets
-// no requests for goneTime.
-func (b *Balancer) MarkGone(now clock.Millis, i Incarnation) {
+// no requests for goneTime. It reports whether that time begins.
+func (b *Balancer) MarkGone(now clock.Millis, i Incarnation) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if s, ok := b.listed(i); ok {
-		b.noticeOf(s).goneUntil = now + goneTime
+	s, ok := b.listed(i)
+	if !ok {
+		return false
 	}
+	known := b.noticeOf(s)
+	begins := now >= known.goneUntil
+	known.goneUntil = now + goneTime
+	return begins
 }
 
 // Pause records that a server wants no requests from this instance for some time. It
@@ -213,40 +225,3 @@
 	// The request is itself one of those in flight.
 	return !s.notice.bars(now, s.inFlight-1, s.info.Slots)
 }
-
-// pauseRefusal returns the refusal of a request for which the servers that could take
-// it have asked for a pause, or nil if that is not why there is none.
-func (b *Balancer) pauseRefusal(now clock.Millis, q Query) *Refusal {
-	service := b.services[q.Service]
-	if service == nil {
-		return nil
-	}
-	shortest := clock.Millis(-1)
-	for _, region := range service.regions {
-		if !q.RegionAllowed(region.name) {
-			continue
-		}
-		first, count := region.sample(b.config.Random)
-		for i := range count {
-			s := region.servers[(first+i)%len(region.servers)]
-			if s.acceptedSlots == 0 || s.notice == nil || s.notice.leaving {
-				continue
-			}
-			if !s.notice.isPaused(now, s.inFlight, s.info.Slots) {
-				continue
-			}
-			left := max(s.notice.pausedUntil-now, minRetryAfter)
-			if shortest < 0 || left < shortest {
-				shortest = left
-			}
-		}
-	}
-	if shortest < 0 {
-		return nil
-	}
-	spread := max(retryJitterMs, int(shortest)/pauseSpreadDivisor)
-	return &Refusal{
-		Reason:     "the backend servers of service " + q.Service + " asked for a pause",
-		RetryAfter: shortest + clock.Millis(b.config.Random.IntN(spread)),
-	}
-}
--- a/placement/notice_test.go
+++ b/placement/notice_test.go
@@ -182,6 +182,24 @@
 	}
 }
 
+// TestRefusalCountsExclusions checks that a refusal without any server counts why.
+func TestRefusalCountsExclusions(t *testing.T) {
+	list := testServers(2)
+	list[0].Draining = true
+	b := newTestBalancerOf(list)
+	b.SetEvacuated(0, values.NewSet("a2"))
+	b.MarkLeaving(0, Departure{Incarnation: list[1].incarnation()})
+	b.MarkGone(0, list[4].incarnation())
+	b.servers[list[5].ID].recordFailure(0)
+	q := testQuery(1)
+	q.Exclude = values.NewSet(list[6].ID, list[7].ID)
+	_, refusal := b.Choose(1, q)
+	want := Exclusions{Counted: 8, NotAccepting: 3, Leaving: 1, Gone: 1, Tried: 2, Failing: 1}
+	if refusal == nil || *refusal.Exclusions != want {
+		t.Errorf("got refusal %+v, want one that counts %+v", refusal, want)
+	}
+}
+
 // TestAllServersPause checks that requests are refused at once while all servers pause,
 // with the time left as a guide and spread out, and that they are served again after that.
 func TestAllServersPause(t *testing.T) {
@@ -198,6 +216,9 @@
 		if refusal.RetryAfter < 3000 || refusal.RetryAfter > 4000 {
 			t.Fatalf("retry after %d ms, want 3,000 to 4,000 ms", refusal.RetryAfter)
 		}
+		if refusal.Exclusions.Paused != refusal.Exclusions.Counted {
+			t.Fatalf("the refusal counts %+v, want pauses only", refusal.Exclusions)
+		}
 		delays = delays.With(refusal.RetryAfter)
 	}
 	if delays.Len() < 10 {
--- a/placement/refusal.go
+++ b/placement/refusal.go
@@ -8,8 +8,10 @@
 		Reason string
 		// RetryAfter is when the caller should try again.
 		RetryAfter clock.Millis
-		// Best is the server that came closest, if there was any.
-		Best *Estimate
+		// Best is the server that came closest, if there was any, and Exclusions say why
+		// there was none.
+		Best       *Estimate
+		Exclusions *Exclusions
 	}
 
 	// Estimate is what a decision on a server was based on.
@@ -37,6 +39,25 @@
 		Cold      bool
 	}
 
+	// Exclusions counts the servers of a service that may not take a request, each by
+	// the first of these reasons. Of a large region only a sample is counted.
+	Exclusions struct {
+		Counted int
+		// NotAccepting are listed as draining, or evacuated.
+		NotAccepting int
+		// Leaving, Paused and Gone are out of use by their own responses.
+		Leaving int
+		Paused  int
+		Gone    int
+		// Tried got the request before, Cold have no room for cold requests, and
+		// Failing are in their backoff.
+		Tried   int
+		Cold    int
+		Failing int
+		// shortestPause is the time until the first of the paused may be used.
+		shortestPause clock.Millis
+	}
+
 	// overload counts the refusals of a service for want of room, to tell whether there
 	// was room in truth.
 	overload struct {
@@ -45,9 +66,77 @@
 	}
 )
 
-// overloadWindow is how long after a refusal a server's report of a free slot shows that
-// there was room.
-const overloadWindow = 300 * clock.Millis(1)
+const (
+	// overloadWindow is how long after a refusal a server's report of a free slot shows
+	// that there was room.
+	overloadWindow = 300 * clock.Millis(1)
+	// pauseSpreadDivisor is the part of a pause, as a divisor, over which the callers
+	// that were refused because of it are spread when it ends.
+	pauseSpreadDivisor = 4
+)
+
+// refuseWithoutServer returns the refusal of a request that no server may take. If servers
+// that could take it have asked for a pause, the caller is told when the shortest ends.
+func (b *Balancer) refuseWithoutServer(now clock.Millis, q Query) *Refusal {
+	excluded := b.exclusions(now, q)
+	if excluded.Paused == 0 {
+		return &Refusal{
+			Reason:     "no backend server of service " + q.Service + " may take the request",
+			RetryAfter: noServerRetryAfter,
+			Exclusions: excluded,
+		}
+	}
+	spread := max(retryJitterMs, int(excluded.shortestPause)/pauseSpreadDivisor)
+	return &Refusal{
+		Reason:     "the backend servers of service " + q.Service + " asked for a pause",
+		RetryAfter: excluded.shortestPause + clock.Millis(b.config.Random.IntN(spread)),
+		Exclusions: excluded,
+	}
+}
+
+// exclusions counts why the servers of the allowed regions may not take a request.
+func (b *Balancer) exclusions(now clock.Millis, q Query) *Exclusions {
+	out := &Exclusions{}
+	service := b.services[q.Service]
+	if service == nil {
+		return out
+	}
+	for _, region := range service.regions {
+		if !q.RegionAllowed(region.name) {
+			continue
+		}
+		first, count := region.sample(b.config.Random)
+		for i := range count {
+			out.add(now, q, region.servers[(first+i)%len(region.servers)])
+		}
+	}
+	return out
+}
+
+// add counts one server.
+func (e *Exclusions) add(now clock.Millis, q Query, s *serverState) {
+	e.Counted++
+	switch {
+	case s.acceptedSlots == 0:
+		e.NotAccepting++
+	case s.notice != nil && s.notice.leaving:
+		e.Leaving++
+	case s.notice != nil && s.notice.isPaused(now, s.inFlight, s.info.Slots):
+		left := max(s.notice.pausedUntil-now, minRetryAfter)
+		if e.Paused == 0 || left < e.shortestPause {
+			e.shortestPause = left
+		}
+		e.Paused++
+	case s.notice != nil && now < s.notice.goneUntil:
+		e.Gone++
+	case q.Exclude.Has(s.info.ID):
+		e.Tried++
+	case s.consecutiveFailures > 0 && now < s.backoffUntil:
+		e.Failing++
+	case s.isCold(now):
+		e.Cold++
+	}
+}
 
 // estimateOf describes a candidate for the log.
 func (b *Balancer) estimateOf(now clock.Millis, q Query, c *candidate, candidates []candidate) *Estimate {
--- a/soak/notice_test.go
+++ b/soak/notice_test.go
@@ -32,8 +32,8 @@
 		pauses  map[string]askedPause
 		// endless makes the server send bytes until the connection is closed.
 		endless bool
-		// lateRequests came too long after a notice, restless ones during a pause.
-		lateRequests, restlessRequests int
+		// lateRequests came too long after a notice, early ones during a pause.
+		lateRequests, earlyRequests int
 	}
 
 	// askedPause is a pause that an instance was asked for, and the requests that it sent
@@ -48,10 +48,10 @@
 const (
 	// maxNoticeDelay is how long after a server's notice an instance may still send to it.
 	maxNoticeDelay = 2500 * time.Millisecond
-	// pauseSettling and maxRestless bound the requests during a pause: at most two from
+	// pauseSettling and maxEarly bound the requests during a pause: at most two from
 	// half a second after the server asked for it.
 	pauseSettling = 500 * time.Millisecond
-	maxRestless   = 2
+	maxEarly      = 2
 	// viaHeader names the instance that a caller sent its request to.
 	viaHeader = "X-Via"
 )
@@ -135,7 +135,7 @@
 	now := time.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.countRestless(instance, now)
+	n.countEarly(instance, now)
 	if n.leaving {
 		header = "Server-Leaving: 1\r\n"
 		told, ok := n.toldAt[instance]
@@ -154,16 +154,16 @@
 	return header, false
 }
 
-// countRestless counts a request that comes during a pause. The caller must hold n.mu.
-func (n *serverNotices) countRestless(instance string, now time.Time) {
+// countEarly counts a request that comes during a pause. The caller must hold n.mu.
+func (n *serverNotices) countEarly(instance string, now time.Time) {
 	p, ok := n.pauses[instance]
 	if !ok || now.Before(p.at.Add(pauseSettling)) || !now.Before(p.at.Add(p.length)) {
 		return
 	}
 	p.requests++
 	n.pauses[instance] = p
-	if p.requests > maxRestless && !n.disturbedSince(instance, p.at) {
-		n.restlessRequests++
+	if p.requests > maxEarly && !n.disturbedSince(instance, p.at) {
+		n.earlyRequests++
 	}
 }
 
@@ -178,10 +178,10 @@
 func (n *serverNotices) violations(server string) []string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.lateRequests == 0 && n.restlessRequests == 0 {
+	if n.lateRequests == 0 && n.earlyRequests == 0 {
 		return nil
 	}
-	return []string{fmt.Sprintf("%s received %d requests too long after it said that it leaves, and %d during its pauses", server, n.lateRequests, n.restlessRequests)}
+	return []string{fmt.Sprintf("%s received %d requests too long after it said that it leaves, and %d during its pauses", server, n.lateRequests, n.earlyRequests)}
 }
 
 // sendEndlessly sends a response without end until the connection is closed.
--- a/steering/attempt.go
+++ b/steering/attempt.go
@@ -127,8 +127,11 @@
 	req.exchange.Response.Reset()
 	req.hold.Release()
 	outbound := &origin.Request{ID: req.id, Pin: choice.Server.ID, TimeLeft: left, Source: req.exchange.Request, Hold: req.hold}
-	outbound.MaySend = func() bool {
-		return h.config.Balancer.MaySend(h.config.Clock.Now(), choice) && h.revocation(req) == ""
+	outbound.Withhold = func() string {
+		if !h.config.Balancer.MaySend(h.config.Clock.Now(), choice) {
+			return "the server left, paused or went out of use"
+		}
+		return h.revocation(req)
 	}
 	if req.workspace != nil {
 		outbound.Workspace = req.workspace.Name
@@ -147,8 +150,8 @@
 // logs what is new.
 func (h *Handler) recordNotice(req *callerRequest, server placement.Server, info origin.ResponseInfo, now clock.Millis) {
 	incarnation := placement.Incarnation{ID: server.ID, StartUnixMs: server.StartUnixMs}
-	if info.Misdirected {
-		h.config.Balancer.MarkGone(now, incarnation)
+	if info.Misdirected && h.config.Balancer.MarkGone(now, incarnation) {
+		h.config.Log.Info("another backend server answers at this one's address", "server", server.ID, "address", server.Address, "request", req.id)
 	}
 	if info.ColdFor > 0 {
 		h.config.Balancer.MarkCold(now, server.ID, info.ColdFor)
@@ -163,8 +166,8 @@
 			"pause_ms", int64(info.Pause.For))
 	}
 	if info.Pause.Given != "" {
-		metrics.GetOrRegisterCounter("servers.odd_pauses", h.config.Metrics).Inc(1)
-		h.config.Log.Warn("backend server asks for a pause of an odd length", "server", server.ID, "request", req.id,
+		metrics.GetOrRegisterCounter("servers.invalid_pauses", h.config.Metrics).Inc(1)
+		h.config.Log.Warn("backend server asks for a pause of an invalid length", "server", server.ID, "request", req.id,
 			"given", info.Pause.Given, "pause_ms", int64(info.Pause.For))
 	}
 }
@@ -232,6 +235,12 @@
 
 // refusalFields returns the log fields that say what a refusal was based on.
 func refusalFields(refusal *placement.Refusal) []any {
+	if excluded := refusal.Exclusions; excluded != nil {
+		return []any{
+			"servers", excluded.Counted, "not_accepting", excluded.NotAccepting, "leaving", excluded.Leaving, "paused", excluded.Paused,
+			"gone", excluded.Gone, "tried", excluded.Tried, "failing", excluded.Failing, "cold", excluded.Cold,
+		}
+	}
 	best := refusal.Best
 	if best == nil {
 		return nil
--- a/values/set.go
+++ b/values/set.go
@@ -3,6 +3,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sort"
 )
 
@@ -36,8 +37,11 @@
 	return maps.Equal(s.members, other.members)
 }
 
-// With returns a copy that also contains the given members.
+// With returns a set that also contains the given members.
 func (s Set[T]) With(members ...T) Set[T] {
+	if !slices.ContainsFunc(members, func(member T) bool { return !s.Has(member) }) {
+		return s
+	}
 	return NewSet(append(s.Sorted(), members...)...)
 }
 
