Tell of each changed row once

A peer's update holds each change of a row since the version of the one that asks.

TestServerChangedTwice fails before: panic in serviceServers.region; with a new server only, "the server that left is still among those of its service". After: passes. Ruled out: the same through the store's own feed, which has each row once.

--- a/fleet/replica.go
+++ b/fleet/replica.go
@@ -4,6 +4,7 @@
 package fleet
 
 import (
+	"maps"
 	"slices"
 	"sort"
 	"sync"
@@ -16,7 +17,7 @@
 // decreases. It is safe for concurrent use.
 type Replica struct {
 	name string
-	// onChange gets the keys of the rows that have changed.
+	// onChange gets the keys of the rows that have changed, each once.
 	onChange func(keys []string)
 
 	mu   sync.Mutex
@@ -138,11 +139,11 @@
 }
 
 // mergeRows applies changed rows in the order of their versions and returns the keys of
-// those that have changed.
+// those that have changed, each once.
 func (r *Replica) mergeRows(rows []*wire.TableRow) []string {
 	rows = append([]*wire.TableRow(nil), rows...)
 	sort.SliceStable(rows, func(i, j int) bool { return rows[i].GetVersion() < rows[j].GetVersion() })
-	var keys []string
+	changed := make(map[string]struct{}, len(rows))
 	for _, row := range rows {
 		old, ok := r.rows[row.GetKey()]
 		if (ok && old.GetVersion() >= row.GetVersion()) || (!ok && row.GetRemoved()) {
@@ -154,10 +155,10 @@
 			r.rows[row.GetKey()] = row
 		}
 		r.log = append(r.log, row)
-		keys = append(keys, row.GetKey())
+		changed[row.GetKey()] = struct{}{}
 	}
 	r.trimLog()
-	return keys
+	return slices.Sorted(maps.Keys(changed))
 }
 
 func (r *Replica) trimLog() {
--- a/steering/steering_test.go
+++ b/steering/steering_test.go
@@ -148,6 +148,32 @@
 	}
 }
 
+// TestServerChangedTwice checks that an instance which learns two changes of a server from
+// a peer at once goes on, and that nothing of the server is left when it leaves.
+func TestServerChangedTwice(t *testing.T) {
+	state := newTestControlState()
+	state.applyTables(1, "")
+	peer := newTestControlState()
+	peer.applyTables(1, "")
+	learn := func(values ...string) {
+		for _, value := range values {
+			version := state.Servers.Version() + 1
+			row := &wire.TableRow{Key: "a", Value: []byte(value), Version: version, Removed: value == "removed"}
+			state.Servers.Apply(&wire.TableDelta{Since: version - 1, Version: version, Rows: []*wire.TableRow{row}}, 0)
+		}
+		peer.Servers.Apply(state.Servers.DeltaSince(peer.Servers.Version(), 0), 0)
+	}
+	learn("new")
+	learn("draining", "draining")
+	learn("removed")
+	learn("new", "ready")
+	learn("removed")
+	query := placement.Query{Service: "s", RegionAllowed: func(string) bool { return true }, TimeLeft: clock.Second, LatencyLimit: clock.Second}
+	if _, refusal := peer.config.Balancer.Choose(peer.manualClock.Now(), query); refusal == nil || refusal.Exclusions.Counted != 0 {
+		t.Error("the server that left is still among those of its service")
+	}
+}
+
 // TestRetryBudget checks that instances that retry as often as their budgets allow stay
 // within the fleet's ratio and slack together, and do get some retries.
 func TestRetryBudget(t *testing.T) {
