--- a/review/standin/case_memory.go
+++ b/review/standin/case_memory.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"strconv"
@@ -115,9 +116,10 @@
 		c.endsByItself[in.name]++
 		c.mu.Unlock()
 		time.Sleep(restartDelay)
-		in.writeSettings(false)
-		in.launch()
-		in.awaitReady()
+		if err := errors.Join(in.writeSettings(false), in.launch(), in.awaitReady()); err != nil {
+			c.record("%s cannot start again: %v", in.name, err)
+			return
+		}
 	}
 }
 
--- a/review/standin/case_multipart.go
+++ b/review/standin/case_multipart.go
@@ -22,7 +22,7 @@
 		var b strings.Builder
 		fmt.Fprintf(&b, "--%s\r\nContent-Disposition: form-data; name=\"proof\"; filename=\"stamp.txt\"\r\nContent-Type: text/plain\r\n\r\nstamp of %s\r\n", boundary, id)
 		for _, field := range []string{"pilgrim", "night", "amount"} {
-			fmt.Fprintf(&b, "--%s\r\nContent-Disposition: form-data; name=\"%s\"\r\n\r\n%s of %s\r\n", boundary, field, field, id)
+			fmt.Fprintf(&b, "--%s\r\nContent-Disposition: form-data; name=\"%s\"\r\nContent-Type: text/plain; charset=utf-8\r\n\r\n%s of %s\r\n", boundary, field, field, id)
 		}
 		fmt.Fprintf(&b, "--%s--\r\n", boundary)
 		body := b.String()
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -155,11 +155,11 @@
 		w.instances = append(w.instances, w.newInstance(i))
 	}
 	for _, in := range w.instances {
-		in.writeSettings(true)
-		in.launch()
+		must(in.writeSettings(true))
+		must(in.launch())
 	}
 	for _, in := range w.instances {
-		in.awaitReady()
+		must(in.awaitReady())
 	}
 	time.Sleep(3 * time.Second)
 }
@@ -178,7 +178,7 @@
 	return in
 }
 
-func (in *instance) writeSettings(bootstrap bool) {
+func (in *instance) writeSettings(bootstrap bool) error {
 	w := in.world
 	regions := make(map[string]string)
 	for _, place := range zones {
@@ -208,21 +208,27 @@
 			"across": false, "history": "20s", "blobBytes": 8388608, "blob": "25ms", "blobMbS": 80.0,
 		},
 	})
-	must(err)
-	must(os.WriteFile(in.settingsFile, raw, 0o600))
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(in.settingsFile, raw, 0o600)
 }
 
 // launch starts the instance's process, with the command of the deploy file.
-func (in *instance) launch() {
+func (in *instance) launch() error {
 	logFile, err := os.OpenFile(in.logFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	must(err)
+	if err != nil {
+		return err
+	}
 	defer func() { _ = logFile.Close() }()
 	cmd := exec.Command(in.world.binary, "steer")
 	cmd.Dir = in.world.root
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C", "BULRUSHFERRY_NODE_FILE=" + in.settingsFile}
 	cmd.Stdout, cmd.Stderr = logFile, logFile
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	must(cmd.Start())
+	if err := cmd.Start(); err != nil {
+		return err
+	}
 	exited := make(chan struct{})
 	in.mu.Lock()
 	in.cmd, in.exited = cmd, exited
@@ -233,6 +239,7 @@
 		in.world.record("exit   %s: %s", in.name, cmd.ProcessState)
 		close(exited)
 	}()
+	return nil
 }
 
 func (in *instance) pid() int {
@@ -266,7 +273,7 @@
 }
 
 // awaitReady waits until the instance says that it is ready.
-func (in *instance) awaitReady() {
+func (in *instance) awaitReady() error {
 	client := http.Client{Timeout: time.Second}
 	for end := time.Now().Add(readyWait); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		response, err := client.Get("http://" + in.ready + "/-/ready")
@@ -276,8 +283,8 @@
 		_ = response.Body.Close()
 		if response.StatusCode == http.StatusOK {
 			in.world.record("ready  %s", in.name)
-			return
+			return nil
 		}
 	}
-	must(errors.New(in.name + " is not ready"))
+	return errors.New(in.name + " is not ready")
 }
