--- a/review/standin/case_memory.go
+++ b/review/standin/case_memory.go
@@ -21,8 +21,8 @@
 	keptClients  = 6
 	restartDelay = time.Second
 	// settleTime, after the start, makes the machines count as in touch.
-	settleTime = 3 * time.Second
-	memoryLimit  = 75 * time.Second
+	settleTime  = 3 * time.Second
+	memoryLimit = 75 * time.Second
 	// linkBytesPerS is what a machine's link of 1,000 Mbit/s carries.
 	linkBytesPerS = 125 << 20
 	sendStep      = 256 << 10
