Pass requests on to backend servers as callers sent them

What callers saw: nothing.

Cause: fasthttp's ContinueReadBody parses such a body unless told not to, and Body() writes it anew from maps. Told from other causes by the content type alone: the same bytes as application/octet-stream arrive unchanged, and so do forms in chunks. The same cause, a copy that is written from a library's interpretation, was looked for in all parts of a request, in steer and in entry, and found: cookies lost their quotes (both); repeated and empty fields that fasthttp keeps apart; entry decoded escaped paths ("%20" reached no server), read forms anew on a hop to a peer, could not read heads over 4 KiB there and invented a content type.

Why it works: no byte of a body and no field is parsed on its way any more; fields are copied from the head as received. The fingerprint of a request comes from the same bytes as the copy that is sent. testRequest in origin now parses its request from the wire, as the program does, with "close" among the connection options; its checks are as before.

--- a/caller/codec.go
+++ b/caller/codec.go
@@ -7,6 +7,10 @@
 	"github.com/valyala/fasthttp"
 )
 
+// forwardedHeadBytes limits the head of a request on its way to a peer: the caller's
+// fields and those that are added.
+const forwardedHeadBytes = 2 * maxHeaderBytes
+
 // encodeRequest returns a request in HTTP/1.1 wire format, or nil if it cannot be
 // encoded.
 func encodeRequest(request *fasthttp.Request) []byte {
@@ -18,10 +22,18 @@
 	return out.Bytes()
 }
 
-// decodeRequest parses a request that a peer encoded with encodeRequest.
+// decodeRequest parses a request that a peer encoded with encodeRequest. The body is not
+// interpreted: fasthttp would parse a form and write it anew.
 func decodeRequest(raw []byte) (*fasthttp.Request, error) {
+	const noLimit, parseForms = 0, false
 	request := fasthttp.AcquireRequest()
-	if err := request.Read(bufio.NewReader(bytes.NewReader(raw))); err != nil {
+	request.Header.SetNoDefaultContentType(true)
+	reader := bufio.NewReaderSize(bytes.NewReader(raw), forwardedHeadBytes)
+	err := request.Header.Read(reader)
+	if err == nil {
+		err = request.ContinueReadBody(reader, noLimit, parseForms)
+	}
+	if err != nil {
 		fasthttp.ReleaseRequest(request)
 		return nil, err
 	}
--- a/caller/key_index.go
+++ b/caller/key_index.go
@@ -93,7 +93,7 @@
 	if unescaped, err := url.QueryUnescape(string(request.RequestURI())); err == nil && strings.Contains(unescaped, string(key)) {
 		return true
 	}
-	for name, value := range request.Header.All() {
+	for name, value := range request.Header.AllInOrder() {
 		if !strings.EqualFold(string(name), fasthttp.HeaderAuthorization) && bytes.Contains(value, key) {
 			return true
 		}
@@ -109,10 +109,23 @@
 			return true
 		}
 	}
-	for _, value := range request.Header.Cookies() {
+	cookies := parseCookies(request)
+	for _, value := range cookies.Cookies() {
 		if k.contains(state, HashKey(value)) {
 			return true
 		}
 	}
 	return false
 }
+
+// parseCookies parses the cookies of a request into a header of their own, because
+// fasthttp writes fields that it has parsed with other bytes.
+func parseCookies(request *fasthttp.Request) *fasthttp.RequestHeader {
+	cookies := &fasthttp.RequestHeader{}
+	for name, value := range request.Header.AllInOrder() {
+		if string(name) == fasthttp.HeaderCookie {
+			cookies.SetBytesV(fasthttp.HeaderCookie, value)
+		}
+	}
+	return cookies
+}
--- a/caller/request.go
+++ b/caller/request.go
@@ -27,6 +27,15 @@
 	reservedHeaderPrefix = "Bulrushferry-"
 )
 
+// servicePath is a request's path below servicePathPrefix.
+type servicePath struct {
+	service string
+	// route is the path on the service, without escapes, by which routes are found.
+	route string
+	// target is the path on the service with the query, as the caller sent them.
+	target string
+}
+
 // strippedHeaders are not forwarded to backend servers: headers that apply to a single
 // connection, and Authorization, which contains the key.
 var strippedHeaders = []string{
@@ -62,6 +71,23 @@
 	return Result{}, true
 }
 
+// parseServicePath parses a request's path. It reports whether the path has the right
+// prefix and names a service.
+func parseServicePath(uri *fasthttp.URI) (servicePath, bool) {
+	service, route, ok := splitPath(string(uri.Path()))
+	if !ok {
+		return servicePath{}, false
+	}
+	sent, target, ok := splitPath(string(uri.PathOriginal()))
+	if !ok || sent != service {
+		return servicePath{}, false
+	}
+	if query := uri.QueryString(); len(query) > 0 {
+		target += "?" + string(query)
+	}
+	return servicePath{service: service, route: route, target: target}, true
+}
+
 // splitPath splits a request path into the service and the path on that service. It
 // reports whether the path has the right prefix and names a service.
 func splitPath(path string) (service, rest string, ok bool) {
@@ -110,19 +136,15 @@
 	return h.Sum(nil)
 }
 
-// newBackendRequest copies a caller's request for a backend server. It sets the path on
+// newBackendRequest copies a caller's request for a backend server. It sets the target on
 // the service and the workspace header, and removes the headers that are not forwarded
 // and those that only bulrushferry may set.
-func newBackendRequest(from *fasthttp.Request, rest, workspace string) *fasthttp.Request {
+func newBackendRequest(from *fasthttp.Request, target, workspace string) *fasthttp.Request {
 	to := fasthttp.AcquireRequest()
 	from.Header.CopyTo(&to.Header)
 	to.Header.SetNoDefaultContentType(true)
 	to.SetBody(from.Body())
-	uri := rest
-	if query := from.URI().QueryString(); len(query) > 0 {
-		uri += "?" + string(query)
-	}
-	to.Header.SetRequestURI(uri)
+	to.Header.SetRequestURI(target)
 	for _, name := range strippedHeaders {
 		to.Header.Del(name)
 	}
@@ -139,7 +161,7 @@
 // set.
 func reservedHeaders(request *fasthttp.Request) []string {
 	var names []string
-	for name := range request.Header.All() {
+	for name := range request.Header.AllInOrder() {
 		if bytes.HasPrefix(bytes.ToLower(name), []byte(strings.ToLower(reservedHeaderPrefix))) {
 			names = append(names, string(name))
 		}
--- a/caller/server.go
+++ b/caller/server.go
@@ -201,13 +201,13 @@
 	if refusal, ok := checkUnambiguous(&ctx.Request); !ok {
 		return Job{}, refusal, false
 	}
-	service, rest, ok := splitPath(string(ctx.Path()))
+	path, ok := parseServicePath(ctx.URI())
 	if !ok {
 		return Job{}, notRun(CodeNoRoute, "no such path"), false
 	}
-	route := rules.Route(state.GetRules(), service, rest)
+	route := rules.Route(state.GetRules(), path.service, path.route)
 	if route == nil {
-		return Job{}, notRun(CodeNoRoute, "no route of service "+service+" covers the path"), false
+		return Job{}, notRun(CodeNoRoute, "no route of service "+path.service+" covers the path"), false
 	}
 	timeout, ok := requestTimeout(&ctx.Request, route)
 	if !ok {
@@ -215,7 +215,7 @@
 	}
 	job := Job{
 		ID:       id,
-		Service:  service,
+		Service:  path.service,
 		Once:     route.GetMode() == wire.RouteMode_ROUTE_MODE_ONCE,
 		Deadline: now + timeout,
 		Weight:   1,
@@ -227,7 +227,7 @@
 		return Job{}, refusal, false
 	}
 	job.Weight = max(workspaceWeight(state, job.Workspace), 1)
-	job.Request = newBackendRequest(&ctx.Request, rest, job.Workspace)
+	job.Request = newBackendRequest(&ctx.Request, path.target, job.Workspace)
 	job.Fingerprint = fingerprint(job.Workspace, string(ctx.Method()), string(job.Request.RequestURI()), ctx.Request.Body())
 	return job, Result{}, true
 }
--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -166,7 +166,8 @@
 	return !x.closeAfter
 }
 
-// readBody reads the body of a request, up to a limit in bytes.
+// readBody reads the body of a request, up to a limit in bytes. The bytes are kept as they
+// are whatever the content type: fasthttp would parse a form and write it anew.
 func (c *conn) readBody(request *fasthttp.Request, maxBytes int) error {
 	length := request.Header.ContentLength()
 	if length == 0 || (length < 0 && hasNoBody(request)) {
@@ -175,7 +176,8 @@
 	if length > maxBytes {
 		return fasthttp.ErrBodyTooLarge
 	}
-	return request.ContinueReadBody(c.reader, maxBytes)
+	const parseForms = false
+	return request.ContinueReadBody(c.reader, maxBytes, parseForms)
 }
 
 // hasNoBody reports whether a request with a negative content length has no body.
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -83,15 +83,11 @@
 
 func testRequest(id string) *Request {
 	source := &fasthttp.Request{}
-	source.SetRequestURI("/a/1?x=%20y")
-	source.Header.SetHost("a.example")
-	source.Header.Set("Key", "secret")
-	source.Header.Set("Workspace", "forged")
-	source.Header.Set("Deadline", "99999")
-	source.Header.Set("Connection", "X-Private")
-	source.Header.Set("X-Private", "1")
-	source.Header.Set("X-Public", "1")
-	source.Header.Set("Request-Id", id)
+	head := "GET /a/1?x=%20y HTTP/1.1\r\nHost: a.example\r\nKey: secret\r\nWorkspace: forged\r\nDeadline: 99999\r\n" +
+		"Connection: close, X-Private\r\nX-Private: 1\r\nX-Public: 1\r\nRequest-Id: " + id + "\r\n\r\n"
+	if err := source.Read(bufio.NewReader(strings.NewReader(head))); err != nil {
+		panic(err)
+	}
 	return &Request{ID: id, Pin: "s", Workspace: "w", TimeLeft: 400, Source: source, Withhold: func() string { return "" }}
 }
 
--- a/origin/request.go
+++ b/origin/request.go
@@ -43,8 +43,8 @@
 	"Upgrade":             {},
 }
 
-// encode returns the request as it is sent to the server. The path and the body are
-// copied unchanged.
+// encode returns the request as it is sent to the server. The method, the path, the body
+// and the fields are copied as the caller sent them.
 func (r *Request) encode(names HeaderNames) []byte {
 	header := &r.Source.Header
 	body := r.Source.Body()
@@ -54,7 +54,7 @@
 	out = append(out, header.RequestURI()...)
 	out = append(out, " HTTP/1.1\r\n"...)
 	dropped := connectionOptions(header)
-	for key, value := range header.All() {
+	for key, value := range header.AllInOrder() {
 		name := string(key)
 		if names.isReserved(name) || isHopByHop(name) || dropped[name] {
 			continue
@@ -95,14 +95,18 @@
 // connectionOptions returns the fields that the caller's Connection field lists,
 // which are hop-by-hop too.
 func connectionOptions(header *fasthttp.RequestHeader) map[string]bool {
-	value := header.Peek(fasthttp.HeaderConnection)
-	if len(value) == 0 {
+	if len(header.Peek(fasthttp.HeaderConnection)) == 0 {
 		return nil
 	}
 	options := make(map[string]bool)
-	for _, option := range strings.Split(string(value), ",") {
-		name := []byte(strings.TrimSpace(option))
-		options[string(fasthttp.AppendNormalizedHeaderKeyBytes(nil, name))] = true
+	for key, value := range header.AllInOrder() {
+		if string(key) != fasthttp.HeaderConnection {
+			continue
+		}
+		for _, option := range strings.Split(string(value), ",") {
+			name := []byte(strings.TrimSpace(option))
+			options[string(fasthttp.AppendNormalizedHeaderKeyBytes(nil, name))] = true
+		}
 	}
 	return options
 }
--- a/steering/instance_test.go
+++ b/steering/instance_test.go
@@ -96,28 +96,35 @@
 	t.Helper()
 	var out []*scriptedServer
 	for i, f := range respond {
-		listener, err := net.Listen("tcp4", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { _ = listener.Close() })
-		s := &scriptedServer{respond: f, Server: placement.Server{
-			ID: fmt.Sprint("s", i), Service: "s", Address: listener.Addr().String(), FailureDomain: "d", Region: "r", Slots: 8, StartUnixMs: 1,
-		}}
-		go func() {
-			for {
-				c, err := listener.Accept()
-				if err != nil {
-					return
-				}
-				go s.serve(c)
-			}
-		}()
+		s := &scriptedServer{respond: f}
+		s.Server = startServer(t, i, s.serve)
 		out = append(out, s)
 	}
 	return out
 }
 
+// startServer starts server number i, which handles its connections with a function.
+func startServer(t *testing.T, i int, handle func(net.Conn)) placement.Server {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go handle(c)
+		}
+	}()
+	return placement.Server{
+		ID: fmt.Sprint("s", i), Service: "s", Address: listener.Addr().String(), FailureDomain: "d", Region: "r", Slots: 8, StartUnixMs: 1,
+	}
+}
+
 func (s *scriptedServer) serve(c net.Conn) {
 	defer func() { _ = c.Close() }()
 	reader := bufio.NewReader(c)
