Pass on whole, checked responses only

A caller that closed its side for writing could get an empty "200 OK" that nobody had made.

Cause: one response object belonged to the caller's connection; each attempt read into it, and giveUp passed on what stood there. An empty object is a "200 OK", which was written when a canceled handler ended without a response before the connection did. Told from a fault in reading by the method: the same cuts of a success are all refused, in the head and in the body, ended and reset; only failures after the loss of an attempt pass through giveUp.

Fix: origin.Pool.Do returns an origin.Response, which only an exchange makes that has read and checked all of it, and none for a decline. An exchange of gateway has no response until the handler calls Respond; without one the connection ends. So the types leave nothing partial to pass on. A whole failure of an earlier attempt is kept and passed on if no other server answers, in place of a 502.

Looked for in entry too: its pool hands a response out only after a whole exchange. Tests of origin follow the new signature, with the same checks.

--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -42,12 +42,13 @@
 
 	// Exchange is a request and its response.
 	Exchange struct {
-		Request  *fasthttp.Request
-		Response *fasthttp.Response
+		Request *fasthttp.Request
 
 		conn *conn
-		// onEnd is called once the response has been written or dropped.
-		onEnd func()
+		// response is nil until Respond is called.
+		response *fasthttp.Response
+		// release is called once the response has been written or dropped.
+		release func()
 		// ready is set once the response can be written.
 		ready bool
 		// closeAfter is set if the connection is closed after this response.
@@ -145,7 +146,7 @@
 // may follow on the connection.
 func (c *conn) readRequest() bool {
 	limits := c.server.limits()
-	x := &Exchange{Request: fasthttp.AcquireRequest(), Response: fasthttp.AcquireResponse(), conn: c}
+	x := &Exchange{Request: fasthttp.AcquireRequest(), conn: c}
 	_ = c.SetReadDeadline(time.Now().Add(limits.HeaderTimeout.Duration()))
 	if err := x.Request.Header.Read(c.reader); err != nil {
 		return c.rejectRequest(x, headerErrorStatus(err), err)
@@ -198,7 +199,8 @@
 	c.server.config.Log.Debug("request cannot be read", "status", status, "error", err.Error())
 	x.closeAfter = true
 	c.enqueue(x)
-	SetErrorResponse(x.Response, status, "the request cannot be read")
+	response := NewErrorResponse(status, "the request cannot be read")
+	x.Respond(response, func() { fasthttp.ReleaseResponse(response) })
 	c.complete(x)
 	return false
 }
@@ -272,23 +274,29 @@
 	}
 }
 
-// OnEnd sets a function that is called once the response has been written or dropped.
-// Only the handler may call it, before it returns.
-func (x *Exchange) OnEnd(call func()) {
-	x.onEnd = call
+// Respond sets the response. release is called once it has been written or dropped. Only
+// the handler may call Respond, at most once and before it returns. If it does not, the
+// connection ends without a response to the request.
+func (x *Exchange) Respond(response *fasthttp.Response, release func()) {
+	x.response, x.release = response, release
 }
 
-// end calls the function set with OnEnd, once.
+// end releases the response, once.
 func (x *Exchange) end() {
-	if x.onEnd != nil {
-		x.onEnd()
-		x.onEnd = nil
+	if x.release != nil {
+		x.release()
+		x.response, x.release = nil, nil
 	}
 }
 
 // writeResponse writes a response, and closes the connection for writing if it is the last
-// one. The caller must hold the lock.
+// one or there is none. The caller must hold the lock.
 func (c *conn) writeResponse(x *Exchange) {
+	if x.response == nil {
+		c.closed = true
+		c.lingeringClose()
+		return
+	}
 	closeAfter := x.closeAfter || c.server.keepAlivesDisabled.Load()
 	_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
 	_, err := c.Write(encodeResponse(x, closeAfter))
@@ -302,7 +310,6 @@
 		c.lingeringClose()
 	}
 	fasthttp.ReleaseRequest(x.Request)
-	fasthttp.ReleaseResponse(x.Response)
 }
 
 // lingeringClose closes the connection for writing and continues to read for up to
@@ -353,7 +360,7 @@
 // encodeResponse returns a response in HTTP/1.1 wire format. It replaces the headers that
 // apply to a single connection, and sets Content-Length to the length of the body.
 func encodeResponse(x *Exchange, closeAfter bool) []byte {
-	response := x.Response
+	response := x.response
 	body := response.Body()
 	out := make([]byte, 0, 512+len(body))
 	out = append(out, "HTTP/1.1 "...)
@@ -389,13 +396,13 @@
 // the response has that field. The response to a HEAD request has no body and states the
 // length that the backend server stated, if it did.
 func contentLength(x *Exchange) (int, bool) {
-	status := x.Response.StatusCode()
+	status := x.response.StatusCode()
 	if status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified {
 		return 0, false
 	}
-	length := len(x.Response.Body())
+	length := len(x.response.Body())
 	if x.Request.Header.IsHead() && length == 0 {
-		length = x.Response.Header.ContentLength()
+		length = x.response.Header.ContentLength()
 	}
 	return length, length >= 0
 }
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -24,7 +24,7 @@
 type (
 	// Handler serves requests.
 	Handler interface {
-		// Serve sets the exchange's response. The context is canceled when the caller
+		// Serve responds to the exchange. The context is canceled when the caller
 		// disconnects.
 		Serve(ctx context.Context, x *Exchange)
 	}
@@ -168,13 +168,14 @@
 	return l
 }
 
-// SetErrorResponse sets a response with a status and a JSON object that contains an error
-// message.
-func SetErrorResponse(response *fasthttp.Response, status int, message string) {
-	response.Reset()
+// NewErrorResponse returns a response with a status and a JSON object that contains an
+// error message.
+func NewErrorResponse(status int, message string) *fasthttp.Response {
+	response := fasthttp.AcquireResponse()
 	response.SetStatusCode(status)
 	response.Header.SetContentType("application/json")
 	response.SetBodyString(`{"error":` + strconv.Quote(message) + `}`)
+	return response
 }
 
 // SetRetryAfter sets the Retry-After header, in seconds with three decimal places.
--- a/gateway/server_test.go
+++ b/gateway/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -39,6 +40,13 @@
 	return s, listener
 }
 
+// bodyResponse returns a response of status 200.
+func bodyResponse(body string) *fasthttp.Response {
+	response := &fasthttp.Response{}
+	response.SetBodyString(body)
+	return response
+}
+
 func dialServer(t *testing.T, listener net.Listener) net.Conn {
 	t.Helper()
 	c, err := net.Dial("tcp4", listener.Addr().String())
@@ -60,7 +68,7 @@
 		s, listener := startServer(t, func(_ context.Context, x *Exchange) {
 			served <- struct{}{}
 			time.Sleep(3 * time.Millisecond)
-			x.Response.SetBodyString("whole")
+			x.Respond(bodyResponse("whole"), nil)
 		})
 		c := dialServer(t, listener)
 		if round%2 == 0 {
@@ -99,7 +107,7 @@
 		} else {
 			close(second)
 		}
-		x.Response.SetBody(x.Request.RequestURI())
+		x.Respond(bodyResponse(string(x.Request.RequestURI())), nil)
 	})
 	c := dialServer(t, listener)
 	_, err := io.WriteString(c, "GET /1/ HTTP/1.1\r\nHost: a\r\n\r\nGET /2/ HTTP/1.1\r\nHost: a\r\n\r\n")
@@ -182,10 +190,54 @@
 // TestHeadResponse checks that the response to HEAD states the length that the backend
 // server stated, without a body, and that the connection carries the next request.
 func TestHeadResponse(t *testing.T) {
-	x := &Exchange{Request: &fasthttp.Request{}, Response: &fasthttp.Response{}}
+	x := &Exchange{Request: &fasthttp.Request{}, response: &fasthttp.Response{}}
 	x.Request.Header.SetMethod(fasthttp.MethodHead)
-	x.Response.Header.SetContentLength(500)
+	x.response.Header.SetContentLength(500)
 	if got := string(encodeResponse(x, false)); !strings.Contains(got, "Content-Length: 500\r\n") || !strings.HasSuffix(got, "\r\n\r\n") {
 		t.Errorf("got %q", got)
 	}
 }
+
+// TestCanceledRequestGetsNoResponse guards against responses that nobody has made: a caller
+// that closes its side of the connection for writing must not get an empty success when its
+// canceled request ends without a response.
+func TestCanceledRequestGetsNoResponse(t *testing.T) {
+	_, listener := startServer(t, func(ctx context.Context, _ *Exchange) { <-ctx.Done() })
+	for round := range 200 {
+		c := dialServer(t, listener)
+		if _, err := io.WriteString(c, plainRequest); err != nil {
+			t.Fatal(err)
+		}
+		if round%2 == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		_ = c.(*net.TCPConn).CloseWrite()
+		if got, _ := io.ReadAll(c); len(got) > 0 {
+			t.Fatalf("round %d: got %q", round, got)
+		}
+	}
+}
+
+// TestNoResponseClosesConnection checks that a connection ends after the responses to the
+// requests before one that gets none, and that nothing is sent for that one.
+func TestNoResponseClosesConnection(t *testing.T) {
+	_, listener := startServer(t, func(_ context.Context, x *Exchange) {
+		if string(x.Request.RequestURI()) != "/1/" {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+		x.Respond(bodyResponse("first"), nil)
+	})
+	c := dialServer(t, listener)
+	for path := range 3 {
+		_, _ = fmt.Fprintf(c, "GET /%d/ HTTP/1.1\r\nHost: a\r\n\r\n", path+1)
+	}
+	started := time.Now()
+	got, err := io.ReadAll(c)
+	if err != nil || !strings.HasSuffix(string(got), "first") || strings.Count(string(got), "HTTP/1.1") != 1 {
+		t.Errorf("got %q, %v, want the first response alone", got, err)
+	}
+	if took := time.Since(started); took > 2*time.Second {
+		t.Errorf("the connection was closed after %s", took)
+	}
+}
--- a/origin/bad_server_test.go
+++ b/origin/bad_server_test.go
@@ -71,15 +71,15 @@
 			server := listenEndless(t, c.begin, c.piece, c.pause, &open)
 			memory := http1.NewMemory(8 << 20)
 			request := testRequest("1")
-			request.Hold = memory.Hold()
-			var response fasthttp.Response
+			pool := newTestPool()
+			pool.config.Memory = memory
 			started := time.Now()
-			_, err := newTestPool().Do(context.Background(), server, true, request, &response)
+			response, _, err := pool.Do(context.Background(), server, true, request)
 			if took := time.Since(started); took > request.TimeLeft.Duration()+200*time.Millisecond {
 				t.Errorf("the exchange took %s, the deadline was %d ms", took, request.TimeLeft)
 			}
-			if complete := name == "past the length"; complete != (err == nil) || (complete && string(response.Body()) != "body") {
-				t.Errorf("got %v and a body of %d bytes", err, len(response.Body()))
+			if complete := name == "past the length"; complete != (err == nil) || (complete && bodyOf(response) != "body") {
+				t.Errorf("got %v and a body of %d bytes", err, len(bodyOf(response)))
 			}
 			closed := make(chan struct{})
 			go func() {
@@ -91,7 +91,7 @@
 			case <-time.After(2 * time.Second):
 				t.Error("the connection was not closed")
 			}
-			request.Hold.Release()
+			response.Release()
 			if memory.Used() != 0 {
 				t.Errorf("%d bytes are still held", memory.Used())
 			}
@@ -106,6 +106,7 @@
 	const limit = 32 << 20
 	memory := http1.NewMemory(limit)
 	pool := newTestPool()
+	pool.config.Memory = memory
 	var open, calls sync.WaitGroup
 	before := heapInUse()
 	peak, stop := make(chan uint64, 1), make(chan struct{})
@@ -120,10 +121,7 @@
 		calls.Go(func() {
 			request := testRequest("1")
 			request.TimeLeft = clock.Second
-			request.Hold = memory.Hold()
-			defer request.Hold.Release()
-			var response fasthttp.Response
-			_, err := pool.Do(context.Background(), server, true, request, &response)
+			_, _, err := pool.Do(context.Background(), server, true, request)
 			if err == nil {
 				t.Error("a response without end counted as complete")
 			}
@@ -137,12 +135,11 @@
 	for range 20 {
 		request := testRequest("1")
 		request.TimeLeft = 5 * clock.Second
-		request.Hold = memory.Hold()
-		var response fasthttp.Response
-		if _, err := pool.Do(context.Background(), honest, true, request, &response); err != nil || len(response.Body()) != 20_000 {
-			t.Errorf("an honest response: %v, %d bytes", err, len(response.Body()))
+		response, _, err := pool.Do(context.Background(), honest, true, request)
+		if err != nil || len(bodyOf(response)) != 20_000 {
+			t.Errorf("an honest response: %v, %d bytes", err, len(bodyOf(response)))
 		}
-		request.Hold.Release()
+		response.Release()
 		time.Sleep(10 * time.Millisecond)
 	}
 	calls.Wait()
@@ -192,10 +189,9 @@
 	})
 	pool := newTestPool()
 	for id := range 3 {
-		var response fasthttp.Response
-		_, err := pool.Do(context.Background(), server, true, testRequest(fmt.Sprint(id+1)), &response)
-		if err != nil || string(response.Body()) != "body" || len(response.Header.Peek("X-Large")) != 20_000 {
-			t.Fatalf("request %d: %v, body %q", id, err, response.Body())
+		response, _, err := pool.Do(context.Background(), server, true, testRequest(fmt.Sprint(id+1)))
+		if err != nil || bodyOf(response) != "body" || len(response.Message().Header.Peek("X-Large")) != 20_000 {
+			t.Fatalf("request %d: %v, body %q", id, err, bodyOf(response))
 		}
 	}
 	if connections != 1 {
@@ -208,8 +204,7 @@
 	server := serve(t, func(int, string) string { return testHead + "Content-Length: 500\r\n\r\n" })
 	request := testRequest("1")
 	request.Source.Header.SetMethod(fasthttp.MethodHead)
-	var response fasthttp.Response
-	if _, err := newTestPool().Do(context.Background(), server, true, request, &response); err != nil {
+	if _, _, err := newTestPool().Do(context.Background(), server, true, request); err != nil {
 		t.Fatal(err)
 	}
 }
@@ -229,11 +224,9 @@
 		}, &count)
 	})
 	pool := newTestPool()
-	var response fasthttp.Response
-	if info, err := pool.Do(context.Background(), server, true, testRequest("1"), &response); err != nil || !info.Declined {
+	if _, info, err := pool.Do(context.Background(), server, true, testRequest("1")); err != nil || !info.Declined {
 		t.Fatalf("got %+v, %v, want a decline", info, err)
 	}
-	response.Reset()
 	connection := len(pool.servers[server.ID].idle)
 	if connection != 0 {
 		t.Error("the connection is kept after a response that names no request")
@@ -251,9 +244,8 @@
 	})
 	request := testRequest("1")
 	request.Withhold = func() string { return "the server left" }
-	var response fasthttp.Response
-	_, err := newTestPool().Do(context.Background(), server, false, request, &response)
-	if !errorx.IsOfType(err, ErrWithheld) || OutcomeOf(ResponseInfo{}, 0, err) != placement.Withheld {
+	_, _, err := newTestPool().Do(context.Background(), server, false, request)
+	if !errorx.IsOfType(err, ErrWithheld) || OutcomeOf(ResponseInfo{}, err) != placement.Withheld {
 		t.Errorf("got %v, want %s", err, ErrWithheld)
 	}
 	if got := <-received; len(got) > 0 {
@@ -283,8 +275,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			server := serve(t, func(int, string) string { return c.sent })
-			var response fasthttp.Response
-			info, _ := newTestPool().Do(context.Background(), server, true, testRequest("1"), &response)
+			_, info, _ := newTestPool().Do(context.Background(), server, true, testRequest("1"))
 			if info.Leaving != c.leaving || info.Pause.For != c.pause {
 				t.Errorf("got leaving %v and a pause of %d ms, want %v and %d ms", info.Leaving, info.Pause.For, c.leaving, c.pause)
 			}
--- a/origin/conn.go
+++ b/origin/conn.go
@@ -49,46 +49,57 @@
 
 // exchange sends a request and reads the response to it. It reports whether the
 // connection can carry another request.
-func (c *conn) exchange(names HeaderNames, request *Request, response *fasthttp.Response) (bool, error) {
+func (c *conn) exchange(names HeaderNames, request *Request, memory *http1.Memory) (*Response, bool, error) {
 	if n, err := c.Write(request.encode(names)); err != nil {
 		if n == 0 {
-			return false, ErrUnreachable.Wrap(err, "sending the request")
+			return nil, false, ErrUnreachable.Wrap(err, "sending the request")
 		}
-		return false, c.wrapError(err, "sending the request")
+		return nil, false, c.wrapError(err, "sending the request")
 	}
 	for range maxStaleResponses {
-		reusable, err := c.readResponse(names, request, response)
-		if err != nil {
-			return false, err
+		response, reusable, err := c.readResponse(names, request, memory)
+		if err != nil || response != nil {
+			return response, reusable, err
 		}
-		if c.isStale(names, request.ID, response) {
-			response.Reset()
-			request.Hold.Release()
-			continue
-		}
-		if err := checkResponse(names, request.ID, response); err != nil {
-			return false, err
-		}
-		c.reader.Shrink()
-		return reusable && c.reader.Buffered() == 0, nil
 	}
-	return false, ErrResponseLost.New("the connection carries only answers to other requests")
+	return nil, false, ErrResponseLost.New("the connection carries only answers to other requests")
+}
+
+// readResponse reads and checks one response with its body. It returns nil for a late one
+// to another request. It reports whether the connection can carry another request.
+func (c *conn) readResponse(names HeaderNames, request *Request, memory *http1.Memory) (*Response, bool, error) {
+	response := newResponse(memory)
+	reusable, err := c.readWhole(names, request, response)
+	if err == nil && c.isStale(names, request.ID, response.message) {
+		response.Release()
+		return nil, false, nil
+	}
+	if err == nil {
+		err = checkResponse(names, request.ID, response.message)
+	}
+	if err != nil {
+		response.Release()
+		return nil, false, err
+	}
+	c.reader.Shrink()
+	return response, reusable && c.reader.Buffered() == 0, nil
 }
 
-// readResponse reads one response with its body. It reports whether the connection can
+// readWhole reads one response with its body. It reports whether the connection can
 // carry another request. A connection ends with a response that names no request: a
 // second copy of it could not be told from the response to the next request.
-func (c *conn) readResponse(names HeaderNames, request *Request, response *fasthttp.Response) (bool, error) {
-	if err := c.reader.ReadHead(response); err != nil {
+func (c *conn) readWhole(names HeaderNames, request *Request, response *Response) (bool, error) {
+	message := response.message
+	if err := c.reader.ReadHead(message); err != nil {
 		return false, c.wrapError(err, "reading the answer's head")
 	}
-	c.serverLeaving = c.serverLeaving || isLeaving(names, response)
-	framing := http1.FramingOf(response, request.Source.Header.IsHead())
-	if err := c.reader.ReadBody(response, framing, request.Hold); err != nil {
+	c.serverLeaving = c.serverLeaving || isLeaving(names, message)
+	framing := http1.FramingOf(message, request.Source.Header.IsHead())
+	if err := c.reader.ReadBody(message, framing, response.hold); err != nil {
 		return false, c.wrapError(err, "reading the answer's body")
 	}
-	named := len(response.Header.Peek(names.RequestID)) > 0
-	return named && framing != http1.UntilClose && !response.ConnectionClose(), nil
+	named := len(message.Header.Peek(names.RequestID)) > 0
+	return named && framing != http1.UntilClose && !message.ConnectionClose(), nil
 }
 
 // isStale reports whether a response is a late one to another request.
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -91,6 +91,14 @@
 	return &Request{ID: id, Pin: "s", Workspace: "w", TimeLeft: 400, Source: source, Withhold: func() string { return "" }}
 }
 
+// bodyOf returns the body of a response, or an empty string if there is none.
+func bodyOf(response *Response) string {
+	if response == nil {
+		return ""
+	}
+	return string(response.Message().Body())
+}
+
 // responseTo returns a complete, signed response to the request with the given id.
 func responseTo(id, extra, body string) string {
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nSignature: x\r\nContent-Length: %d\r\n%s\r\n%s", id, len(body), extra, body)
@@ -122,16 +130,15 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			server := serve(t, func(int, string) string { return c.sent })
-			var response fasthttp.Response
-			info, err := newTestPool().Do(context.Background(), server, true, testRequest("1"), &response)
+			response, info, err := newTestPool().Do(context.Background(), server, true, testRequest("1"))
 			if c.err != nil {
 				if !errorx.IsOfType(err, c.err) {
 					t.Fatalf("got %v, want %s", err, c.err)
 				}
 				return
 			}
-			if err != nil || info.Declined != c.declined || string(response.Body()) != c.body {
-				t.Fatalf("got %q, declined %v, %v", response.Body(), info.Declined, err)
+			if err != nil || info.Declined != c.declined || bodyOf(response) != c.body {
+				t.Fatalf("got %q, declined %v, %v", bodyOf(response), info.Declined, err)
 			}
 		})
 	}
@@ -148,15 +155,13 @@
 	})
 	pool := newTestPool()
 	for id, want := range map[string]string{"1": "first"} {
-		var response fasthttp.Response
-		if _, err := pool.Do(context.Background(), server, true, testRequest(id), &response); err != nil || string(response.Body()) != want {
-			t.Fatalf("got %q (%v), want %q", response.Body(), err, want)
+		if response, _, err := pool.Do(context.Background(), server, true, testRequest(id)); err != nil || bodyOf(response) != want {
+			t.Fatalf("got %q (%v), want %q", bodyOf(response), err, want)
 		}
 	}
 	time.Sleep(20 * time.Millisecond)
-	var response fasthttp.Response
-	if _, err := pool.Do(context.Background(), server, true, testRequest("2"), &response); err != nil || string(response.Body()) != "second" {
-		t.Fatalf("got %q (%v), want %q", response.Body(), err, "second")
+	if response, _, err := pool.Do(context.Background(), server, true, testRequest("2")); err != nil || bodyOf(response) != "second" {
+		t.Fatalf("got %q (%v), want %q", bodyOf(response), err, "second")
 	}
 }
 
@@ -169,8 +174,7 @@
 		headers <- header
 		return responseTo("1", "", "")
 	})
-	var response fasthttp.Response
-	if _, err := newTestPool().Do(context.Background(), server, true, testRequest("1"), &response); err != nil {
+	if _, _, err := newTestPool().Do(context.Background(), server, true, testRequest("1")); err != nil {
 		t.Fatal(err)
 	}
 	header := <-headers
@@ -193,8 +197,7 @@
 	}
 	address := listener.Addr().String()
 	_ = listener.Close()
-	var response fasthttp.Response
-	_, err = newTestPool().Do(context.Background(), placement.Server{ID: "s", Address: address}, true, testRequest("1"), &response)
+	_, _, err = newTestPool().Do(context.Background(), placement.Server{ID: "s", Address: address}, true, testRequest("1"))
 	if !errorx.IsOfType(err, ErrUnreachable) {
 		t.Fatalf("got %v, want %s", err, ErrUnreachable)
 	}
@@ -228,15 +231,14 @@
 	results := make(chan error, 3)
 	for range 3 {
 		go func() {
-			var response fasthttp.Response
-			_, err := pool.Do(context.Background(), server, true, testRequest("1"), &response)
+			_, _, err := pool.Do(context.Background(), server, true, testRequest("1"))
 			results <- err
 		}()
 	}
 	if err := <-results; !errorx.IsOfType(err, ErrConnectionLimit) {
 		t.Fatalf("got %v, want %s", err, ErrConnectionLimit)
 	}
-	if outcome := OutcomeOf(ResponseInfo{}, 0, ErrConnectionLimit.New("x")); outcome != placement.ConnectionLimit {
+	if outcome := OutcomeOf(ResponseInfo{}, ErrConnectionLimit.New("x")); outcome != placement.ConnectionLimit {
 		t.Errorf("outcome %s, want %s", outcome, placement.ConnectionLimit)
 	}
 }
@@ -264,9 +266,8 @@
 	}()
 	request := testRequest("1")
 	request.TimeLeft = 5000
-	var response fasthttp.Response
 	started := time.Now()
-	_, err = newTestPool().Do(ctx, placement.Server{ID: "s", Address: listener.Addr().String()}, true, request, &response)
+	_, _, err = newTestPool().Do(ctx, placement.Server{ID: "s", Address: listener.Addr().String()}, true, request)
 	if !errorx.IsOfType(err, ErrCanceled) {
 		t.Fatalf("got %v, want %s", err, ErrCanceled)
 	}
@@ -302,15 +303,13 @@
 	var wg sync.WaitGroup
 	for range connections {
 		wg.Go(func() {
-			var response fasthttp.Response
-			_, _ = pool.Do(context.Background(), server, true, testRequest("1"), &response)
+			_, _, _ = pool.Do(context.Background(), server, true, testRequest("1"))
 		})
 	}
 	wg.Wait()
 	time.Sleep(10 * time.Millisecond)
 	dead.Store(true)
-	var response fasthttp.Response
-	_, err := pool.Do(context.Background(), server, false, testRequest("1"), &response)
+	_, _, err := pool.Do(context.Background(), server, false, testRequest("1"))
 	if !errorx.IsOfType(err, ErrResponseLost) {
 		t.Fatalf("got %v, want %s", err, ErrResponseLost)
 	}
@@ -358,8 +357,7 @@
 	pool := newTestPool()
 	pool.config.MaxConnections = func(string) int { return connections }
 	do := func() error {
-		var response fasthttp.Response
-		_, err := pool.Do(context.Background(), server, true, testRequest("1"), &response)
+		_, _, err := pool.Do(context.Background(), server, true, testRequest("1"))
 		return err
 	}
 	var wg sync.WaitGroup
--- a/origin/pool.go
+++ b/origin/pool.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/bulrushferry/bulrushferry/clock"
+	"github.com/bulrushferry/bulrushferry/http1"
 	"github.com/bulrushferry/bulrushferry/placement"
 	"github.com/bulrushferry/bulrushferry/socket"
 	"github.com/joomcode/errorx"
@@ -27,6 +28,8 @@
 		// OnConnect is called after each new connection with the time that it took
 		// to connect to a server of the region.
 		OnConnect func(region string, took clock.Millis)
+		// Memory limits what the responses hold; nil means no limit.
+		Memory *http1.Memory
 	}
 
 	// Pool keeps the connections to backend servers. It is safe for concurrent use.
@@ -47,6 +50,8 @@
 
 	// ResponseInfo holds what a response says about the server.
 	ResponseInfo struct {
+		// Status is the status code; zero if there is no whole response.
+		Status int
 		// Declined is set if the server did not run the request.
 		Declined bool
 		// Misdirected is set if another server now has the address.
@@ -84,48 +89,56 @@
 	return &Pool{config: config, servers: make(map[string]*serverConns)}
 }
 
-// Do sends a request to a server and reads the response. idempotent is set if the
+// Do sends a request to a server and reads the response, which the caller must release.
+// It returns none if the server did not run the request. idempotent is set if the
 // request may be sent again after a failure. Canceling the context closes the
 // connection, so that the server can stop running the request. After an error only
-// Leaving of the result may be set.
-func (p *Pool) Do(ctx context.Context, server placement.Server, idempotent bool, request *Request, response *fasthttp.Response) (ResponseInfo, error) {
+// Leaving of the info may be set.
+func (p *Pool) Do(ctx context.Context, server placement.Server, idempotent bool, request *Request) (*Response, ResponseInfo, error) {
 	deadline := time.Now().Add(request.TimeLeft.Duration())
 	c, err := p.connect(server, idempotent, request.TimeLeft)
 	if err != nil {
-		return ResponseInfo{}, err
+		return nil, ResponseInfo{}, err
 	}
 	if err := c.SetDeadline(deadline); err != nil {
 		p.discard(server, c)
-		return ResponseInfo{}, ErrUnreachable.Wrap(err, "setting the deadline")
+		return nil, ResponseInfo{}, ErrUnreachable.Wrap(err, "setting the deadline")
 	}
 	if reason := request.Withhold(); reason != "" {
 		p.put(server, c, true)
-		return ResponseInfo{}, ErrWithheld.New("nothing was sent to server %s: %s", server.ID, reason)
+		return nil, ResponseInfo{}, ErrWithheld.New("nothing was sent to server %s: %s", server.ID, reason)
 	}
 	started := p.config.Clock.Now()
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-	reusable, err := c.exchange(p.config.Headers, request, response)
+	response, reusable, err := c.exchange(p.config.Headers, request, p.config.Memory)
 	info := ResponseInfo{Leaving: c.serverLeaving}
 	if !stop() {
+		response.Release()
 		p.discard(server, c)
-		return info, ErrCanceled.New("the request was cancelled")
+		return nil, info, ErrCanceled.New("the request was cancelled")
 	}
 	if err != nil {
 		p.discard(server, c)
 		p.closeDistrusted(server, started, err)
-		return info, err
+		return nil, info, err
 	}
-	c.setIdleTimeout(response)
+	c.setIdleTimeout(response.message)
 	p.put(server, c, reusable && !info.Leaving)
 	if info.Leaving {
 		p.closeIdle(server)
 	}
-	return p.responseInfo(info, response), nil
+	info = p.responseInfo(info, response.message)
+	if info.Declined {
+		response.Release()
+		return nil, info, nil
+	}
+	return response, info, nil
 }
 
 // responseInfo adds to info what a complete response says about the server.
 func (p *Pool) responseInfo(info ResponseInfo, response *fasthttp.Response) ResponseInfo {
 	names := p.config.Headers
+	info.Status = response.StatusCode()
 	info.Declined = isDeclined(names, response)
 	info.Misdirected = response.StatusCode() == fasthttp.StatusMisdirectedRequest
 	info.Load, info.HasLoad = parseLoad(string(response.Header.Peek(names.Load)))
@@ -304,9 +317,8 @@
 	metrics.GetOrRegisterCounter(name, p.config.Metrics).Inc(1)
 }
 
-// OutcomeOf returns the outcome that placement records for the results of Do and the
-// response's status code.
-func OutcomeOf(info ResponseInfo, status int, err error) placement.Outcome {
+// OutcomeOf returns the outcome that placement records for the results of Do.
+func OutcomeOf(info ResponseInfo, err error) placement.Outcome {
 	switch {
 	case errorx.IsOfType(err, ErrUnreachable):
 		return placement.Unreachable
@@ -322,7 +334,7 @@
 		return placement.ResponseLost
 	case info.Declined:
 		return placement.Declined
-	case status >= fasthttp.StatusInternalServerError:
+	case info.Status >= fasthttp.StatusInternalServerError:
 		return placement.Failed
 	default:
 		return placement.Answered
--- a/origin/request.go
+++ b/origin/request.go
@@ -5,7 +5,6 @@
 	"strings"
 
 	"github.com/bulrushferry/bulrushferry/clock"
-	"github.com/bulrushferry/bulrushferry/http1"
 	"github.com/valyala/fasthttp"
 )
 
@@ -21,8 +20,6 @@
 	TimeLeft clock.Millis
 	// Source is the request as the caller sent it.
 	Source *fasthttp.Request
-	// Hold is the memory that the response's body takes.
-	Hold *http1.Hold
 	// Withhold is called right before the request is sent. If it returns a reason, nothing
 	// is sent.
 	Withhold func() (reason string)
--- a/steering/attempt.go
+++ b/steering/attempt.go
@@ -57,13 +57,13 @@
 			h.giveUp(req, maybeRan, "the retry budget is spent", choice.ExpectedLatency)
 			return
 		}
-		outcome := h.attempt(req, choice, left)
+		response, outcome := h.attempt(req, choice, left)
 		tried = tried.With(choice.Server.ID)
 		if wasSent(outcome) {
 			sent++
 		}
 		maybeRan = maybeRan || mayHaveRun(outcome)
-		if h.handleOutcome(req, outcome, sent, tried.Len()) {
+		if h.handleOutcome(req, response, outcome, sent, tried.Len()) {
 			return
 		}
 	}
@@ -79,16 +79,23 @@
 	return outcome == placement.ResponseLost || outcome == placement.TimedOut || outcome == placement.Failed || outcome == placement.Canceled
 }
 
-// handleOutcome reports whether the outcome of an attempt is final. If it is, the
-// response to the caller has been set, unless the request was canceled.
-func (h *Handler) handleOutcome(req *callerRequest, outcome placement.Outcome, sent, tried int) bool {
+// handleOutcome reports whether the outcome of an attempt is final. If it is, the request
+// has been responded to, unless it was canceled. The response is nil unless a server has
+// answered or failed.
+func (h *Handler) handleOutcome(req *callerRequest, response *origin.Response, outcome placement.Outcome, sent, tried int) bool {
 	canRetry := sent < req.route.MaxAttempts && tried < maxServersTried
 	idempotent := req.route.Mode == routing.Idempotent
 	switch outcome {
 	case placement.Answered:
+		req.respond(response)
 		return true
 	case placement.Failed:
-		return !idempotent || !canRetry
+		req.keepFailure(response)
+		if idempotent && canRetry {
+			return false
+		}
+		req.respondWithFailure()
+		return true
 	case placement.TimedOut:
 		h.refuse(req, fasthttp.StatusGatewayTimeout, "no answer came in time", 0)
 		return true
@@ -98,13 +105,37 @@
 		if idempotent && canRetry {
 			return false
 		}
-		h.refuse(req, fasthttp.StatusBadGateway, "the answer was lost", 0)
+		if !req.respondWithFailure() {
+			h.refuse(req, fasthttp.StatusBadGateway, "the answer was lost", 0)
+		}
 		return true
 	default:
 		return false
 	}
 }
 
+// respond passes a server's response on to the caller.
+func (req *callerRequest) respond(response *origin.Response) {
+	req.exchange.Respond(response.Message(), response.Release)
+}
+
+// keepFailure keeps the failure of the last server that has failed, in case no other
+// server answers.
+func (req *callerRequest) keepFailure(response *origin.Response) {
+	req.failure.Release()
+	req.failure = response
+}
+
+// respondWithFailure passes on the failure that was kept. It reports whether there is one.
+func (req *callerRequest) respondWithFailure() bool {
+	if req.failure == nil {
+		return false
+	}
+	req.respond(req.failure)
+	req.failure = nil
+	return true
+}
+
 // placementQuery describes the request to the balancer. Servers in tried are excluded;
 // left is the time until the deadline.
 func (h *Handler) placementQuery(req *callerRequest, tried values.Set[string], left clock.Millis) placement.Query {
@@ -122,11 +153,9 @@
 }
 
 // attempt sends the request to one backend server and reports the outcome to the balancer
-// and to the crash tracker.
-func (h *Handler) attempt(req *callerRequest, choice *placement.Choice, left clock.Millis) placement.Outcome {
-	req.exchange.Response.Reset()
-	req.hold.Release()
-	outbound := &origin.Request{ID: req.id, Pin: choice.Server.ID, TimeLeft: left, Source: req.exchange.Request, Hold: req.hold}
+// and to the crash tracker. It returns the server's response if there is one.
+func (h *Handler) attempt(req *callerRequest, choice *placement.Choice, left clock.Millis) (*origin.Response, placement.Outcome) {
+	outbound := &origin.Request{ID: req.id, Pin: choice.Server.ID, TimeLeft: left, Source: req.exchange.Request}
 	outbound.Withhold = func() string {
 		if !h.config.Balancer.MaySend(h.config.Clock.Now(), choice) {
 			return "the server left, paused or went out of use"
@@ -136,14 +165,14 @@
 	if req.workspace != nil {
 		outbound.Workspace = req.workspace.Name
 	}
-	info, err := h.config.Pool.Do(req.ctx, choice.Server, req.route.Mode == routing.Idempotent, outbound, req.exchange.Response)
+	response, info, err := h.config.Pool.Do(req.ctx, choice.Server, req.route.Mode == routing.Idempotent, outbound)
 	now := h.config.Clock.Now()
-	outcome := origin.OutcomeOf(info, req.exchange.Response.StatusCode(), err)
+	outcome := origin.OutcomeOf(info, err)
 	h.config.Balancer.Done(now, choice, placement.Result{Outcome: outcome, Load: info.Load, HasLoad: info.HasLoad})
 	h.recordNotice(req, choice.Server, info, now)
 	h.trackCrash(req, choice.Server.ID, outcome, now)
-	h.recordOutcome(req, choice, outcome, err)
-	return outcome
+	h.recordOutcome(req, choice, outcome, info.Status, err)
+	return response, outcome
 }
 
 // recordNotice passes on to the balancer what the backend server has said of itself, and
@@ -202,14 +231,14 @@
 
 // recordOutcome counts the outcome of an attempt. On success it records the latency
 // since the start of the request; any other outcome is logged.
-func (h *Handler) recordOutcome(req *callerRequest, choice *placement.Choice, outcome placement.Outcome, err error) {
+func (h *Handler) recordOutcome(req *callerRequest, choice *placement.Choice, outcome placement.Outcome, status int, err error) {
 	elapsed := h.config.Clock.Now() - req.startedAt
 	metrics.GetOrRegisterCounter("outcomes."+outcome.String(), h.config.Metrics).Inc(1)
 	if outcome == placement.Answered {
 		metrics.GetOrRegisterHistogram("latency."+req.route.Name, h.config.Metrics, metrics.NewExpDecaySample(latencyReservoirSize, latencyDecayAlpha)).Update(int64(elapsed))
 		return
 	}
-	reason := "status " + strconv.Itoa(req.exchange.Response.StatusCode())
+	reason := "status " + strconv.Itoa(status)
 	if err != nil {
 		reason = err.Error()
 	}
@@ -219,18 +248,17 @@
 }
 
 // giveUp ends a request for which no further attempt is made. It responds with 503 only
-// if no backend server can have run the request. Otherwise it keeps the response of the
-// last attempt if that is a signed 5xx, or else responds with 502.
+// if no backend server can have run the request. Otherwise it passes on the last whole
+// failure of a server, or responds with 502 if there is none.
 func (h *Handler) giveUp(req *callerRequest, maybeRan bool, reason string, retryAfter clock.Millis, fields ...any) {
 	if !maybeRan {
 		h.refund(req)
 		h.refuse(req, fasthttp.StatusServiceUnavailable, reason, retryAfter, fields...)
 		return
 	}
-	if req.exchange.Response.StatusCode() >= fasthttp.StatusInternalServerError && len(req.exchange.Response.Header.Peek(h.config.Headers.Signature)) > 0 {
-		return
+	if !req.respondWithFailure() {
+		h.refuse(req, fasthttp.StatusBadGateway, reason, 0, fields...)
 	}
-	h.refuse(req, fasthttp.StatusBadGateway, reason, 0, fields...)
 }
 
 // refusalFields returns the log fields that say what a refusal was based on.
--- a/steering/forward_test.go
+++ b/steering/forward_test.go
@@ -201,7 +201,7 @@
 				t.Errorf("the answer came after %s, the deadline was 600 ms", took)
 			}
 			time.Sleep(20 * time.Millisecond)
-			if used := in.handler.config.Memory.Used(); used != 0 {
+			if used := in.memory.Used(); used != 0 {
 				t.Errorf("%d bytes are held after the answer", used)
 			}
 		})
--- a/steering/handler.go
+++ b/steering/handler.go
@@ -8,7 +8,6 @@
 
 	"github.com/bulrushferry/bulrushferry/clock"
 	"github.com/bulrushferry/bulrushferry/gateway"
-	"github.com/bulrushferry/bulrushferry/http1"
 	"github.com/bulrushferry/bulrushferry/origin"
 	"github.com/bulrushferry/bulrushferry/placement"
 	"github.com/bulrushferry/bulrushferry/routing"
@@ -40,9 +39,6 @@
 		RetryBudget  *RetryBudget
 		RateLimiter  Admitter
 		Crashes      *placement.CrashTracker
-		// Memory limits what the responses of backend servers hold; nil means no
-		// limit.
-		Memory *http1.Memory
 	}
 
 	// Handler authenticates and admits callers' requests and forwards them to
@@ -67,8 +63,8 @@
 		key string
 		// admittedAt is when a token was taken for the request; zero if none was.
 		admittedAt clock.Millis
-		// hold is the memory that the response's body takes.
-		hold      *http1.Hold
+		// failure is the whole failure of the last server that has failed, if any.
+		failure   *origin.Response
 		startedAt clock.Millis
 		deadline  clock.Millis
 		// latencyLimit is the longest expected latency with which the request may
@@ -110,8 +106,8 @@
 
 // Serve implements gateway.Handler.
 func (h *Handler) Serve(ctx context.Context, x *gateway.Exchange) {
-	req := &callerRequest{ctx: ctx, exchange: x, startedAt: h.config.Clock.Now(), hold: h.config.Memory.Hold()}
-	x.OnEnd(req.hold.Release)
+	req := &callerRequest{ctx: ctx, exchange: x, startedAt: h.config.Clock.Now()}
+	defer func() { req.failure.Release() }()
 	req.id = string(x.Request.Header.Peek(h.config.Headers.RequestID))
 	if !h.prepare(req) || !h.admit(req) {
 		return
@@ -257,16 +253,17 @@
 // limited by the time left until the deadline. The fields are added to the log line. It
 // always returns false.
 func (h *Handler) refuse(req *callerRequest, status int, reason string, retryAfter clock.Millis, fields ...any) bool {
-	gateway.SetErrorResponse(req.exchange.Response, status, reason)
+	response := gateway.NewErrorResponse(status, reason)
+	req.exchange.Respond(response, func() { fasthttp.ReleaseResponse(response) })
 	if req.id != "" {
-		req.exchange.Response.Header.Set(h.config.Headers.RequestID, req.id)
+		response.Header.Set(h.config.Headers.RequestID, req.id)
 	}
 	now := h.config.Clock.Now()
 	if status == fasthttp.StatusServiceUnavailable || status == fasthttp.StatusTooManyRequests {
 		if req.deadline > 0 {
 			retryAfter = min(retryAfter, (req.deadline-now)/retryAfterDivisor)
 		}
-		gateway.SetRetryAfter(req.exchange.Response, max(retryAfter, 0))
+		gateway.SetRetryAfter(response, max(retryAfter, 0))
 	}
 	metrics.GetOrRegisterCounter("refusals."+strconv.Itoa(status), h.config.Metrics).Inc(1)
 	version := int64(0)
--- a/steering/instance_test.go
+++ b/steering/instance_test.go
@@ -43,6 +43,7 @@
 		address  string
 		handler  *Handler
 		balancer *placement.Balancer
+		memory   *http1.Memory
 		state    testControlState
 		servers  []*scriptedServer
 	}
@@ -174,7 +175,7 @@
 	manual.Set(100 * clock.Second)
 	system := clock.NewSystem()
 	members := fleet.NewMembers(&wire.FleetInstance{Instance: "self"}, 5*clock.Second)
-	in := &testInstance{t: t, servers: servers, balancer: placement.NewBalancer(placement.BalancerConfig{FailureDomain: "d", Region: "r", Regions: []string{"r"}})}
+	in := &testInstance{t: t, servers: servers, balancer: placement.NewBalancer(placement.BalancerConfig{FailureDomain: "d", Region: "r", Regions: []string{"r"}}), memory: http1.NewMemory(16 << 20)}
 	registry := metrics.NewRegistry()
 	state := NewControlState(ControlStateConfig{
 		BootClock: manual, Clock: system, Log: hclog.NewNullLogger(), Metrics: registry, Balancer: in.balancer, Members: members,
@@ -188,10 +189,10 @@
 	in.handler = NewHandler(HandlerConfig{
 		Clock: system, Log: hclog.NewNullLogger(), Metrics: registry, Headers: testHeaders, ControlState: state, Balancer: in.balancer,
 		Pool: origin.NewPool(origin.PoolConfig{
-			Clock: system, Headers: testHeaders, Metrics: registry, MaxConnections: func(string) int { return 50 }, OnConnect: in.balancer.SetRoundTrip,
+			Clock: system, Headers: testHeaders, Metrics: registry, MaxConnections: func(string) int { return 50 }, OnConnect: in.balancer.SetRoundTrip, Memory: in.memory,
 		}),
 		RetryBudget: NewRetryBudget(RetryBudgetConfig{Bounds: func() Bounds { return Bounds{RetryRatio: 1, RetrySlack: 1000} }, InstanceCount: func() int { return 1 }}),
-		Crashes:     placement.NewCrashTracker(), Memory: http1.NewMemory(16 << 20),
+		Crashes:     placement.NewCrashTracker(),
 	})
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
--- a/steering/wiring.go
+++ b/steering/wiring.go
@@ -150,13 +150,14 @@
 	})
 }
 
-func newPool(adapter Adapter, c clock.Clock, registry metrics.Registry, balancer *placement.Balancer) *origin.Pool {
+func newPool(adapter Adapter, c clock.Clock, registry metrics.Registry, balancer *placement.Balancer, memory *http1.Memory) *origin.Pool {
 	return origin.NewPool(origin.PoolConfig{
 		Clock:          c,
 		Headers:        adapter.Headers,
 		Metrics:        registry,
 		MaxConnections: balancer.MaxConnections,
 		OnConnect:      balancer.SetRoundTrip,
+		Memory:         memory,
 	})
 }
 
@@ -168,7 +169,7 @@
 	return NewRetryBudget(RetryBudgetConfig{Bounds: func() Bounds { return l.get().Bounds }, InstanceCount: m.shareHolderCount})
 }
 
-func newRequestHandler(adapter Adapter, c clock.Clock, log hclog.Logger, registry metrics.Registry, state *ControlState, balancer *placement.Balancer, pool *origin.Pool, budget *RetryBudget, limiter *RateLimiter, crashes *placement.CrashTracker, memory *http1.Memory) *Handler {
+func newRequestHandler(adapter Adapter, c clock.Clock, log hclog.Logger, registry metrics.Registry, state *ControlState, balancer *placement.Balancer, pool *origin.Pool, budget *RetryBudget, limiter *RateLimiter, crashes *placement.CrashTracker) *Handler {
 	return NewHandler(HandlerConfig{
 		Clock:        c,
 		Log:          log.Named("request"),
@@ -180,7 +181,6 @@
 		RetryBudget:  budget,
 		RateLimiter:  limiter,
 		Crashes:      crashes,
-		Memory:       memory,
 	})
 }
 
