--- a/fleet/gossip.go
+++ b/fleet/gossip.go
@@ -127,6 +127,13 @@
 	}
 }
 
+// Notify exchanges updates with the peers at some addresses at once.
+func (g *Gossip) Notify(addresses []string) {
+	for _, address := range addresses {
+		go g.Exchange(context.Background(), address)
+	}
+}
+
 // silentPeers returns the known peers that are not alive, in random order.
 func (g *Gossip) silentPeers(alive []*wire.FleetInstance) []*wire.FleetInstance {
 	aliveNames := make(map[string]struct{}, len(alive))
@@ -236,6 +243,7 @@
 // not known here.
 func (g *Gossip) applyAnswer(answer *wire.GossipAnswer, askedAt clock.Millis) []uint64 {
 	g.config.Members.Record(answer.GetSender(), askedAt)
+	g.config.Members.RecordOwnPredecessor(answer.GetPredecessor())
 	for _, info := range answer.GetMembers() {
 		if g.config.Members.RecordReport(info, askedAt) {
 			g.config.OnPeerRestart(info.GetPeerAddress())
@@ -302,6 +310,7 @@
 	g.recordPeerAges(request.GetTables(), now)
 	g.recordObservations(request.GetSender(), request.GetObservations(), 0)
 	answer := &wire.GossipAnswer{Sender: g.config.Members.Self(), Members: g.config.Members.Entries(request.GetUnknown(), now), Tables: g.digests(true)}
+	answer.Predecessor = g.config.Members.Predecessor(request.GetSender().GetInstance(), now)
 	if len(request.GetUnknown()) == 0 {
 		answer.States, answer.Ages = g.config.Members.Heartbeats(now)
 	}
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -30,6 +30,9 @@
 		// is described by an earlier entry.
 		entries  map[uint64]*wire.FleetInstance
 		majority majority
+		// predecessor is the entry of an earlier process of this instance, as a peer has
+		// reported it.
+		predecessor *wire.FleetInstance
 	}
 
 	// majority is a result of InMajority and the time for which it holds unless a member
@@ -45,6 +48,8 @@
 		hash uint64
 		// heardAt is when the instance was last heard from, here or by a peer.
 		heardAt clock.Millis
+		// predecessor is the member of the instance's earlier process, if there was one.
+		predecessor *member
 	}
 )
 
@@ -59,6 +64,12 @@
 	smallFleetBits = 4
 	// maxEntriesPerMember bounds the entries kept, on average for each instance.
 	maxEntriesPerMember = 4
+	// partRetention is how long a silent instance may use its own part of the limits on
+	// workspaces. Its loans to peers have ended long before.
+	partRetention = 30 * clock.Second
+	// stoppingPartRetention is the same for an instance that is stopping. It covers the
+	// time until a new process of the instance has started.
+	stoppingPartRetention = 12 * clock.Second
 	// shareMargin covers the time that a heartbeat takes to spread.
 	shareMargin = clock.Second
 	// majorityWindow is how long a silent instance still counts for the majority
@@ -104,6 +115,18 @@
 	m.setSelf(self)
 }
 
+// SetHoldsPart sets whether this instance has a part of the limits on workspaces.
+func (m *Members) SetHoldsPart(holds bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if holds == m.self.GetHoldsPart() {
+		return
+	}
+	self := proto.CloneOf(m.self)
+	self.HoldsPart = holds
+	m.setSelf(self)
+}
+
 // SetStopping marks this instance as stopping and no longer ready.
 func (m *Members) SetStopping() {
 	m.mu.Lock()
@@ -161,9 +184,17 @@
 	if !ok {
 		m.removeSilent(at)
 	}
-	m.others[info.GetInstance()] = &member{info: info, hash: hash, heardAt: at}
+	current := &member{info: info, hash: hash, heardAt: at}
+	restarted := ok && old.info.GetIncarnation() != info.GetIncarnation()
+	switch {
+	case restarted:
+		current.predecessor = &member{info: old.info, heardAt: old.heardAt}
+	case ok:
+		current.predecessor = old.predecessor
+	}
+	m.others[info.GetInstance()] = current
 	m.majority = majority{}
-	return ok && old.info.GetIncarnation() != info.GetIncarnation()
+	return restarted
 }
 
 // removeSilent removes the instances that have been silent for memberRetention, such
@@ -251,6 +282,82 @@
 	return names
 }
 
+// PartHolders returns how many instances may use a part of the limits on workspaces,
+// including this one. While no other instance is alive, this one may be cut off from
+// them, and counts them for longer.
+func (m *Members) PartHolders(now clock.Millis) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	retention := majorityWindow
+	alive := aliveTimeoutFor(len(m.others) + 1)
+	for _, other := range m.others {
+		if now-other.heardAt < alive {
+			retention = partRetention
+		}
+	}
+	count := 1
+	for _, other := range m.others {
+		if now-other.heardAt < min(retention, partRetentionOf(other.info)) {
+			count++
+		}
+	}
+	return count
+}
+
+// partRetentionOf returns how long after it was last heard from an instance counts among
+// those that have a part of the limits on workspaces.
+func partRetentionOf(info *wire.FleetInstance) clock.Millis {
+	if info.GetStopping() {
+		return stoppingPartRetention
+	}
+	return majorityWindow
+}
+
+// Predecessor returns the last entry of an earlier process of an instance, with its age, or
+// nil if that is not among those that have a part of the limits.
+func (m *Members) Predecessor(instance string, now clock.Millis) *wire.FleetInstance {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	other, ok := m.others[instance]
+	if !ok || other.predecessor == nil {
+		return nil
+	}
+	age := max(now-other.predecessor.heardAt, 0)
+	if age >= min(partRetention, partRetentionOf(other.predecessor.info)) {
+		return nil
+	}
+	info := proto.CloneOf(other.predecessor.info)
+	info.HeardAgeMs = int64(age)
+	return info
+}
+
+// RecordOwnPredecessor records the entry of an earlier process of this instance that a peer
+// has reported, unless an earlier report is more recent.
+func (m *Members) RecordOwnPredecessor(info *wire.FleetInstance) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if info == nil || info.GetInstance() != m.self.GetInstance() || info.GetIncarnation() == m.self.GetIncarnation() {
+		return
+	}
+	if m.predecessor == nil || info.GetHeardAgeMs() < m.predecessor.GetHeardAgeMs() {
+		m.predecessor = info
+	}
+}
+
+// OwnPredecessor returns the entry of an earlier process of this instance with its age when
+// it was reported, or nil if no peer has reported one.
+func (m *Members) OwnPredecessor() *wire.FleetInstance {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.predecessor
+}
+
+// SpreadTime returns how long it takes until all instances that are in contact have heard
+// of a new one.
+func (m *Members) SpreadTime() clock.Millis {
+	return m.aliveTimeout()
+}
+
 // Known returns all other instances that have not been removed.
 func (m *Members) Known() []*wire.FleetInstance {
 	return m.heardWithin(0, -1)
--- a/fleet/members_test.go
+++ b/fleet/members_test.go
@@ -117,3 +117,66 @@
 		t.Errorf("%v hold shares after 5 s, want the one that was heard and this one", holders)
 	}
 }
+
+// TestPartHolders checks which instances count among those that have a part of the limits on
+// workspaces: all that may still be using one, and those whose next process will.
+func TestPartHolders(t *testing.T) {
+	const now = 100 * clock.Second
+	alive := func(m *Members) { m.Record(&wire.FleetInstance{Instance: "alive"}, now) }
+	cases := map[string]struct {
+		record func(m *Members)
+		want   int
+	}{
+		"alone":               {func(*Members) {}, 1},
+		"one alive":           {alive, 2},
+		"one silent for 29 s": {func(m *Members) { alive(m); m.Record(&wire.FleetInstance{Instance: "b"}, now-29*clock.Second) }, 3},
+		"one silent for 31 s": {func(m *Members) { alive(m); m.Record(&wire.FleetInstance{Instance: "b"}, now-31*clock.Second) }, 2},
+		"all silent for 31 s": {func(m *Members) { m.Record(&wire.FleetInstance{Instance: "b"}, now-31*clock.Second) }, 2},
+		"all silent for 61 s": {func(m *Members) { m.Record(&wire.FleetInstance{Instance: "b"}, now-61*clock.Second) }, 1},
+		"stopped 11 s ago": {func(m *Members) {
+			alive(m)
+			m.Record(&wire.FleetInstance{Instance: "b", Stopping: true}, now-11*clock.Second)
+		}, 3},
+		"stopped 13 s ago": {func(m *Members) {
+			alive(m)
+			m.Record(&wire.FleetInstance{Instance: "b", Stopping: true}, now-13*clock.Second)
+		}, 2},
+		"registered and not heard":   {func(m *Members) { m.RecordRegistered([]*wire.FleetInstance{{Instance: "b"}}, now) }, 2},
+		"restarted counts once":      {func(m *Members) { alive(m); m.Record(&wire.FleetInstance{Instance: "alive", Incarnation: "2"}, now+1) }, 2},
+		"this instance, by a report": {func(m *Members) { m.Record(&wire.FleetInstance{Instance: "self", Incarnation: "0"}, now) }, 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			m := NewMembers(&wire.FleetInstance{Instance: "self"}, 5*clock.Second)
+			c.record(m)
+			if got := m.PartHolders(now); got != c.want {
+				t.Errorf("%d instances have a part, want %d", got, c.want)
+			}
+		})
+	}
+}
+
+// TestPredecessor checks that an instance learns from a peer of its earlier process, also
+// after the peer has heard of the new one, and how long ago that was.
+func TestPredecessor(t *testing.T) {
+	const now = 100 * clock.Second
+	earlier := &wire.FleetInstance{Instance: "self", Incarnation: "1", Stopping: true}
+	current := &wire.FleetInstance{Instance: "self", Incarnation: "2"}
+	peer := NewMembers(&wire.FleetInstance{Instance: "peer"}, 5*clock.Second)
+	peer.Record(earlier, now)
+	peer.Record(current, now+500)
+	peer.Record(current, now+900)
+	m := NewMembers(current, 5*clock.Second)
+	m.RecordOwnPredecessor(peer.Predecessor("self", now+clock.Second))
+	if got := m.OwnPredecessor(); got.GetIncarnation() != "1" || got.GetHeardAgeMs() != 1000 || !got.GetStopping() {
+		t.Errorf("got %v, want the earlier process, heard 1,000 ms ago", got)
+	}
+	if got := peer.Predecessor("self", now+stoppingPartRetention); got != nil {
+		t.Errorf("got %v, for which no part is kept any more", got)
+	}
+	m.RecordOwnPredecessor(current)
+	m.RecordOwnPredecessor(&wire.FleetInstance{Instance: "other", Incarnation: "1"})
+	if got := m.OwnPredecessor(); got.GetIncarnation() != "1" {
+		t.Errorf("got %v, which is no earlier process of this instance", got)
+	}
+}
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -1,8 +1,9 @@
-// Package quota enforces a workspace's request rate across the fleet. One
-// instance, the owner, holds the workspace's token bucket. The other instances
-// prefetch tokens from it according to their demand and return what they do not
-// need. Tokens in lost messages or on crashed instances are not replaced, so
-// the fleet never exceeds the limit.
+// Package quota enforces a workspace's request rate across the fleet. Each instance has a
+// part of every limit, and lends it to the instance that owns the workspace's token
+// bucket. A bucket fills at the rate of the parts that were lent to it, so that several
+// owners, for example around a restart, never fill faster than the limit together. The
+// other instances prefetch tokens from the owner according to their demand and return what
+// they do not need. Tokens in lost messages or on crashed instances are not replaced.
 package quota
 
 import (
@@ -16,25 +17,40 @@
 		Burst    float64
 	}
 
-	// Bucket is the owner's token bucket of one workspace. It is not safe for
+	// Loan is a part of a limit that a bucket uses.
+	Loan struct {
+		// Fraction is the fraction of the limit.
+		Fraction float64
+		// Until is when the loan ends, by the bucket's clock.
+		Until clock.Millis
+		// Sequence increases with each message of the lender about the bucket.
+		Sequence int64
+	}
+
+	// Bucket is the token bucket of one workspace at one instance. It is not safe for
 	// concurrent use.
 	Bucket struct {
 		limit     Limit
 		tokens    float64
 		updatedAt clock.Millis
+		// loans holds the latest loan of each lender. Those that have ended are kept
+		// for a PartTerm, so that a message of before is not taken for a new one.
+		loans map[uint64]Loan
 	}
 )
 
 const (
+	// PartTerm is how long a part is lent for, unless the loan is renewed. It covers a
+	// few lost messages.
+	PartTerm = 1500 * clock.Millis(1)
+
 	// maxTimeToNextToken and minTimeToNextToken bound the time for which other
 	// instances are told that no token is available.
 	maxTimeToNextToken = 300 * clock.Millis(1)
 	minTimeToNextToken = 15 * clock.Millis(1)
-	// initialFillTime determines how many tokens a new bucket holds: as many as
-	// arrive in this time. It is short enough that buckets of successive owners
-	// stay below the workspace's rate; the limit of a bucket leaves a margin for
-	// it.
-	initialFillTime = 250 * clock.Millis(1)
+	// wholeTokenFraction is the fraction of a limit above which a bucket holds a whole
+	// token whatever the burst. Only one bucket can have that much.
+	wholeTokenFraction = 0.5
 )
 
 // WithScale returns the limit multiplied by a factor.
@@ -42,19 +58,44 @@
 	return Limit{RatePerS: l.RatePerS * factor, Burst: l.Burst * factor}
 }
 
-// NewBucket returns a bucket with only a few tokens, since another owner may just
-// have handed out all that were available.
+// NewBucket returns an empty bucket without loans.
 func NewBucket(now clock.Millis, limit Limit) *Bucket {
-	b := &Bucket{limit: limit, updatedAt: now}
-	b.tokens = min(limit.RatePerS*initialFillTime.Seconds(), b.capacity())
-	return b
+	return &Bucket{limit: limit, updatedAt: now, loans: make(map[uint64]Loan)}
 }
 
 // SetLimit changes the rate and burst.
 func (b *Bucket) SetLimit(now clock.Millis, limit Limit) {
 	b.refill(now)
 	b.limit = limit
-	b.tokens = min(b.tokens, b.capacity())
+	b.trim(now)
+}
+
+// Lend adds a lender's part, or replaces an earlier loan of it. Messages that were
+// overtaken by a later one of the same lender have no effect.
+func (b *Bucket) Lend(now clock.Millis, lender uint64, loan Loan) {
+	b.refill(now)
+	if loan.Sequence <= b.loans[lender].Sequence {
+		return
+	}
+	b.loans[lender] = loan
+	b.trim(now)
+}
+
+// TakeBack ends a lender's loan, and removes and returns the tokens that belong to it.
+func (b *Bucket) TakeBack(now clock.Millis, lender uint64, sequence int64) float64 {
+	b.refill(now)
+	loan := b.loans[lender]
+	if sequence <= loan.Sequence {
+		return 0
+	}
+	tokens := 0.0
+	if loan.Until > now {
+		tokens = b.tokens * loan.Fraction / b.fraction(now)
+	}
+	b.tokens -= tokens
+	b.loans[lender] = Loan{Until: now, Sequence: sequence}
+	b.trim(now)
+	return tokens
 }
 
 // Take removes and returns up to the requested number of tokens. It returns
@@ -72,7 +113,8 @@
 // Return puts unused tokens back into the bucket.
 func (b *Bucket) Return(now clock.Millis, tokens float64) {
 	b.refill(now)
-	b.tokens = min(b.capacity(), b.tokens+max(tokens, 0))
+	b.tokens += max(tokens, 0)
+	b.trim(now)
 }
 
 // TimeToNextToken returns how long it takes until a whole token is available, or
@@ -83,23 +125,50 @@
 	if b.tokens >= 1 {
 		return 0
 	}
-	if b.limit.RatePerS <= 0 {
+	rate := b.limit.RatePerS * b.fraction(now)
+	if rate <= 0 {
 		return maxTimeToNextToken
 	}
-	wait := clock.Millis((1 - b.tokens) / b.limit.RatePerS * float64(clock.Second))
+	wait := clock.Millis((1 - b.tokens) / rate * float64(clock.Second))
 	return min(max(wait, minTimeToNextToken), maxTimeToNextToken)
 }
 
+// refill adds the tokens that each loan has earned since the last call, up to its end.
 func (b *Bucket) refill(now clock.Millis) {
 	if now <= b.updatedAt {
 		return
 	}
-	b.tokens = min(b.capacity(), b.tokens+b.limit.RatePerS*(now-b.updatedAt).Seconds())
+	for lender, loan := range b.loans {
+		if end := min(now, loan.Until); end > b.updatedAt {
+			b.tokens += b.limit.RatePerS * loan.Fraction * (end - b.updatedAt).Seconds()
+		}
+		if now-loan.Until > PartTerm {
+			delete(b.loans, lender)
+		}
+	}
 	b.updatedAt = now
+	b.trim(now)
 }
 
-// capacity returns the burst, but at least one token: a workspace with a
-// smaller burst could never send a request.
-func (b *Bucket) capacity() float64 {
-	return max(1, b.limit.Burst)
+// trim limits the tokens to the burst of the parts that are lent. At least half of the
+// parts make one token at least: a workspace with a smaller burst could never send a
+// request.
+func (b *Bucket) trim(now clock.Millis) {
+	fraction := b.fraction(now)
+	capacity := b.limit.Burst * fraction
+	if fraction > wholeTokenFraction {
+		capacity = max(1, capacity)
+	}
+	b.tokens = min(b.tokens, capacity)
+}
+
+// fraction returns the fraction of the limit that is lent to the bucket.
+func (b *Bucket) fraction(now clock.Millis) float64 {
+	sum := 0.0
+	for _, loan := range b.loans {
+		if loan.Until > now {
+			sum += loan.Fraction
+		}
+	}
+	return sum
 }
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 
@@ -9,6 +10,13 @@
 	"pgregory.net/rapid"
 )
 
+// wholeBucket returns an empty bucket that all of a limit is lent to for good.
+func wholeBucket(limit Limit) *Bucket {
+	bucket := NewBucket(0, limit)
+	bucket.Lend(0, 1, Loan{Fraction: 1, Until: clock.Millis(1) << 40, Sequence: 1})
+	return bucket
+}
+
 // TestFleetBound has instances spend their tokens as fast as requests arrive,
 // with messages lost in both directions. The fleet must never admit more than
 // the rate and the burst allow.
@@ -19,7 +27,7 @@
 		caches := make([]TokenCache, rapid.IntRange(1, 9).Draw(t, "instances"))
 		load := float64(rapid.IntRange(1, 10).Draw(t, "load"))
 		lost := rapid.IntRange(0, 3).Draw(t, "lost")
-		bucket := NewBucket(0, limit)
+		bucket := wholeBucket(limit)
 		admitted, due := 0, 0.0
 		for now := clock.Millis(0); now < 6*clock.Second; now += 10 {
 			for due += limit.RatePerS * load / 100; due >= 1; due-- {
@@ -86,7 +94,7 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			bucket := NewBucket(0, Limit{RatePerS: c.rate, Burst: c.rate})
+			bucket := wholeBucket(Limit{RatePerS: c.rate, Burst: c.rate})
 			caches := make([]TokenCache, c.instances)
 			refused, asked, due := 0, 0, 0.0
 			for now := clock.Millis(0); now < 20*clock.Second; now += 10 {
@@ -118,6 +126,53 @@
 	}
 }
 
+// TestLoans checks that a bucket fills at the rate of the parts that are lent to it, up to
+// the end of each loan, holds no more than their part of the burst, and gives back what
+// belongs to a part that is taken back.
+func TestLoans(t *testing.T) {
+	limit := Limit{RatePerS: 100, Burst: 100}
+	lent := func(lenders ...uint64) *Bucket {
+		b := NewBucket(0, limit)
+		for _, lender := range lenders {
+			b.Lend(0, lender, Loan{Fraction: 0.25, Until: 400, Sequence: 5})
+		}
+		return b
+	}
+	cases := map[string]struct {
+		do   func(b *Bucket) float64
+		want float64
+	}{
+		"two parts for 400 ms":      {func(b *Bucket) float64 { return b.Take(400-1, 99) }, 19.95},
+		"all end":                   {func(b *Bucket) float64 { return b.Take(1000, 99) }, 0},
+		"one part is renewed":       {func(b *Bucket) float64 { b.Lend(0, 1, Loan{0.25, 1000, 6}); return b.Take(900, 99) }, 25},
+		"burst of two parts":        {func(b *Bucket) float64 { b.Return(0, 99); return b.Take(0, 99) }, 50},
+		"a part and its tokens":     {func(b *Bucket) float64 { return b.TakeBack(200, 1, 6) }, 5},
+		"filled by the other one":   {func(b *Bucket) float64 { b.TakeBack(200, 1, 6); return b.Take(300, 99) }, 7.5},
+		"taken back twice":          {func(b *Bucket) float64 { b.TakeBack(200, 1, 6); return b.TakeBack(200, 1, 7) }, 0},
+		"overtaken loan":            {func(b *Bucket) float64 { b.TakeBack(0, 1, 7); b.Lend(0, 1, Loan{0.25, 400, 6}); return b.Take(200, 99) }, 5},
+		"overtaken word to end":     {func(b *Bucket) float64 { b.Lend(0, 1, Loan{0.25, 400, 7}); return b.TakeBack(200, 1, 6) }, 0},
+		"unknown lender takes back": {func(b *Bucket) float64 { return b.TakeBack(200, 9, 6) }, 0},
+		"half a limit and no burst": {func(b *Bucket) float64 { b.SetLimit(0, Limit{RatePerS: 100}); return b.Take(200, 99) }, 0},
+		"whole limit and no burst": {func(b *Bucket) float64 {
+			b.SetLimit(0, Limit{RatePerS: 100})
+			b.Lend(0, 3, Loan{0.5, 400, 1})
+			return b.Take(200, 99)
+		}, 1},
+		"time passes for a new loan": {func(b *Bucket) float64 {
+			b.TakeBack(0, 1, 6)
+			b.Lend(300, 1, Loan{0.25, 900, 7})
+			return b.TakeBack(399, 1, 8)
+		}, 6.25},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			if got := c.do(lent(1, 2)); math.Abs(got-c.want) > 0.3 {
+				t.Errorf("got %.2f tokens, want %.2f", got, c.want)
+			}
+		})
+	}
+}
+
 func ExampleLimit_WithScale() {
 	fmt.Println(Limit{RatePerS: 10, Burst: 4}.WithScale(0.5))
 	// Output: {5 2}
--- a/quota/token_cache.go
+++ b/quota/token_cache.go
@@ -41,6 +41,11 @@
 	return true
 }
 
+// Tokens returns how many tokens are held.
+func (c *TokenCache) Tokens() float64 {
+	return c.tokens
+}
+
 // Refund puts back the token of a request that was not run.
 func (c *TokenCache) Refund() {
 	c.tokens++
--- a/soak/store_test.go
+++ b/soak/store_test.go
@@ -208,8 +208,9 @@
 // handleCommit applies the writes and deletions of a transaction.
 func (s *store) handleCommit(w http.ResponseWriter, r *http.Request) {
 	var transaction struct {
-		Writes []storeRow `json:"writes"`
-		Remove []storeRow `json:"remove"`
+		Expected []storeRow `json:"expectedRev"`
+		Writes   []storeRow `json:"writes"`
+		Remove   []storeRow `json:"remove"`
 	}
 	if err := json.NewDecoder(r.Body).Decode(&transaction); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
@@ -220,6 +221,12 @@
 	if s.rejectIfUnavailable(w) {
 		return
 	}
+	for _, row := range transaction.Expected {
+		if _, exists := s.rows[row.Table][row.Key]; exists && row.Version == 0 {
+			w.WriteHeader(http.StatusPreconditionFailed)
+			return
+		}
+	}
 	for _, row := range transaction.Writes {
 		s.apply(row)
 	}
--- a/steering/adapter.go
+++ b/steering/adapter.go
@@ -70,8 +70,10 @@
 	Store interface {
 		// Follow keeps a replica up to date until the context ends.
 		Follow(ctx context.Context, f Following)
-		// Register stores this instance's entry.
-		Register(ctx context.Context, info *wire.FleetInstance) error
+		// Register stores this instance's entry. It reports whether the entry of an
+		// earlier process was replaced, which all instances that have read the list
+		// know of.
+		Register(ctx context.Context, info *wire.FleetInstance) (replaced bool, err error)
 		// Deregister removes this instance's entry.
 		Deregister(ctx context.Context, info *wire.FleetInstance) error
 		// Instances returns the entries of all registered instances, and the rows
--- a/steering/join.go
+++ b/steering/join.go
@@ -31,16 +31,20 @@
 // Registration and discovery are retried until both have succeeded.
 func (p process) join(ctx context.Context) {
 	startedAt := time.Now()
-	registered := false
-	for ctx.Err() == nil {
+	registered, replaced := false, false
+	for attempts := 0; ctx.Err() == nil; attempts++ {
 		if !registered {
-			registered = p.register(ctx)
+			registered, replaced = p.register(ctx)
+			// An earlier attempt may have stored the entry although it failed.
+			replaced = replaced && attempts == 0
 		}
 		if registered && p.discover(ctx) {
+			p.allowPart(replaced)
 			return
 		}
 		if p.askPeers(ctx, p.LiveSettings.get().Seeds) > 0 {
 			p.markJoined("a seed")
+			p.allowPart(false)
 		}
 		if time.Since(startedAt) > joinTimeout {
 			p.markJoined("nobody")
@@ -86,15 +90,23 @@
 	return int(responded.Load())
 }
 
-// register stores this instance's entry in the platform's store.
-func (p process) register(ctx context.Context) bool {
+// allowPart lets the instance use its own part of the limits on workspaces.
+func (p process) allowPart(replaced bool) {
+	wait, reason := p.Membership.allowPart(replaced)
+	p.Log.Info("part of the limits on workspaces", "instances", p.Members.PartHolders(clock.BootTime{}.Now()), "wait_ms", int64(wait), "reason", reason)
+}
+
+// register stores this instance's entry in the platform's store. It reports whether that
+// succeeded, and whether it replaced the entry of an earlier process.
+func (p process) register(ctx context.Context) (registered, replaced bool) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	if err := p.Adapter.Store.Register(ctx, p.Members.Self()); err != nil {
+	replaced, err := p.Adapter.Store.Register(ctx, p.Members.Self())
+	if err != nil {
 		p.Log.Warn("registering this instance failed", "error", err.Error())
-		return false
+		return false, false
 	}
-	return true
+	return true, replaced
 }
 
 // discover reads the list of the registered instances, lets this one serve, and sends
--- a/steering/membership.go
+++ b/steering/membership.go
@@ -20,6 +20,9 @@
 	members      *fleet.Members
 	controlState *ControlState
 	balancer     *placement.Balancer
+	// onPartChange is called when the instance begins or ceases to have a part of the
+	// limits, which others have to know soon.
+	onPartChange func()
 
 	mu sync.Mutex
 	// shareHolders are the names of the instances that share the limits, including
@@ -30,9 +33,16 @@
 	// relaying is set while this instance is the relay of its region: the one that
 	// reads the platform's store and passes updates on to its peers.
 	relaying bool
-	// limitScale is the fraction of the limits that the running instances may use
-	// together; the rest is left to the silent ones that still hold a share.
-	limitScale float64
+	// part is the fraction of all limits that is this instance's own.
+	part float64
+	// refreshedAt is when the members were last read.
+	refreshedAt clock.Millis
+	// partFrom is when the instance may use its part; zero if that is not known yet.
+	partFrom clock.Millis
+	// partGivenUp is set once the stopping instance does not use its part any more.
+	partGivenUp bool
+	// startedAt is when this process started.
+	startedAt clock.Millis
 }
 
 const (
@@ -40,7 +50,7 @@
 	// covers many workspaces.
 	maxBucketOwners = 6
 	// limitFraction is the fraction of a workspace's rate that is granted. The rest
-	// allows for a bucket that has two owners for a moment.
+	// allows for tokens that were fetched ahead.
 	limitFraction = 0.97
 	// burstFraction is the fraction of a workspace's burst that is granted.
 	burstFraction = 0.8
@@ -65,19 +75,72 @@
 	return owner
 }
 
-// workspaceLimit returns a workspace's limit, scaled to the running instances, since
-// silent ones may still be using their shares. It reports whether the workspace has a
-// rate limit.
+// workspaceLimit returns a workspace's limit over the fleet. It reports whether the
+// workspace has a rate limit.
 func (m *membership) workspaceLimit(workspace string) (quota.Limit, bool) {
 	config := m.controlState.Config()
 	if config == nil || config.Workspaces[workspace] == nil {
 		return quota.Limit{}, false
 	}
 	w := config.Workspaces[workspace]
+	return quota.Limit{RatePerS: w.RatePerS * limitFraction, Burst: w.Burst * burstFraction}, w.RatePerS > 0
+}
+
+// ownPart returns the fraction of all limits that is this instance's own. It is zero until
+// all others count this instance among those that have a part, after a pause of this
+// process in which they may have stopped to, and after giveUpPart.
+func (m *membership) ownPart() float64 {
+	now := m.bootClock.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.partGivenUp || m.partFrom == 0 || now < m.partFrom || now-m.refreshedAt > quota.PartTerm {
+		return 0
+	}
+	return m.part
+}
+
+// allowPart lets the instance use its own part of the limits from some time on, and returns
+// how long it waits and why. replaced is set if the platform's list held an entry of an
+// earlier process, which may have lent the part until shortly before it ended. The others
+// count this instance under its name: a new one waits until they have heard of it.
+func (m *membership) allowPart(replaced bool) (wait clock.Millis, reason string) {
+	now := m.bootClock.Now()
+	predecessor := m.members.OwnPredecessor()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	from := now + max(quota.PartTerm, m.members.SpreadTime())
+	reason = "a new instance"
+	switch {
+	case predecessor != nil && !predecessor.GetHoldsPart():
+		from, reason = now-clock.Millis(predecessor.GetHeardAgeMs())+quota.PartTerm, "its earlier process gave its part up"
+	case predecessor != nil || replaced:
+		from, reason = m.startedAt+quota.PartTerm, "its earlier process may have lent its part"
+	}
+	if m.partFrom == 0 {
+		m.partFrom = max(from, now)
+	}
+	return max(m.partFrom-now, 0), reason
+}
+
+// giveUpPart ends the use of the instance's part of the limits, before the process ends.
+func (m *membership) giveUpPart() {
+	m.mu.Lock()
+	m.partGivenUp = true
+	m.mu.Unlock()
+	m.members.SetHoldsPart(false)
+}
+
+// ownerAddresses returns the peer addresses of the other instances that own token buckets.
+func (m *membership) ownerAddresses() []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	total := quota.Limit{RatePerS: w.RatePerS * limitFraction, Burst: w.Burst * burstFraction}
-	return total.WithScale(m.limitScale), w.RatePerS > 0
+	var addresses []string
+	for _, info := range m.bucketOwners {
+		if info.GetInstance() != m.members.Self().GetInstance() {
+			addresses = append(addresses, info.GetPeerAddress())
+		}
+	}
+	return addresses
 }
 
 // shareHolderCount returns how many instances share the fleet-wide limits, at least one.
@@ -92,13 +155,23 @@
 	now := m.bootClock.Now()
 	shareHolders := m.members.ShareHolders(now)
 	running := m.running(now)
+	part := 1 / float64(m.members.PartHolders(now))
+	spread := m.members.SpreadTime()
 	m.mu.Lock()
 	changed := !slices.Equal(shareHolders, m.shareHolders)
 	m.shareHolders = shareHolders
 	m.bucketOwners = pickBucketOwners(running)
 	m.relaying = isRegionRelay(running, m.members.Self())
-	m.limitScale = float64(len(running)) / float64(max(len(shareHolders), 1))
+	m.part = part
+	if m.refreshedAt > 0 && now-m.refreshedAt > quota.PartTerm {
+		m.partFrom = max(m.partFrom, now+spread)
+	}
+	m.refreshedAt = now
 	m.mu.Unlock()
+	if holds := m.ownPart() > 0; holds != m.members.Self().GetHoldsPart() {
+		m.members.SetHoldsPart(holds)
+		m.onPartChange()
+	}
 	if changed {
 		m.balancer.SetFleet(placement.Fleet{Self: m.members.Self().GetInstance(), Members: shareHolders})
 	}
@@ -116,9 +189,10 @@
 	return instances
 }
 
-// pickBucketOwners returns the first maxBucketOwners of the running instances by rank.
+// pickBucketOwners returns the first maxBucketOwners of the running instances that have a
+// part of the limits, by rank.
 func pickBucketOwners(running []*wire.FleetInstance) []*wire.FleetInstance {
-	sorted := slices.Clone(running)
+	sorted := slices.DeleteFunc(slices.Clone(running), func(info *wire.FleetInstance) bool { return !info.GetHoldsPart() })
 	slices.SortFunc(sorted, compareRank)
 	return sorted[:min(len(sorted), maxBucketOwners)]
 }
--- a/steering/rate_limiter.go
+++ b/steering/rate_limiter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -10,85 +11,79 @@
 	"github.com/bulrushferry/bulrushferry/quota"
 	"github.com/bulrushferry/bulrushferry/wire"
 	"github.com/hashicorp/go-hclog"
+	"github.com/rcrowley/go-metrics"
 )
 
 type (
 	// RateLimiterConfig configures a RateLimiter.
 	RateLimiterConfig struct {
+		// Clock also runs while the machine is suspended, since loans of parts end
+		// meanwhile.
 		Clock   clock.Clock
 		Log     hclog.Logger
+		Metrics metrics.Registry
 		Network peer.Network
 		// BucketOwner returns the instance that owns a workspace's token bucket.
 		BucketOwner func(workspace string) *wire.FleetInstance
-		// Self is the name of this instance.
-		Self string
-		// Limit returns a workspace's limit, scaled to the running instances, and
-		// whether it has one.
+		// Self is the name of this instance, SelfAddress its peer address.
+		Self        string
+		SelfAddress string
+		// Limit returns a workspace's limit over the fleet, and whether it has one.
 		Limit func(workspace string) (quota.Limit, bool)
-		// InstanceCount returns how many instances share the fleet-wide limits.
-		InstanceCount func() int
+		// Part returns the fraction of all limits that is this instance's own. It is
+		// zero while other instances may not know of this one.
+		Part func() float64
 	}
 
 	// RateLimiter admits requests within their workspaces' rates. It owns the token
 	// buckets of some workspaces and fetches tokens for the others from the instances
-	// that own theirs. It implements Admitter and is safe for concurrent use. The lock
-	// is not held during calls to peers, and no other RateLimiter's lock is taken while
-	// it is held.
+	// that own theirs, to which it lends its part of their limits. It implements
+	// Admitter and is safe for concurrent use. The lock is not held during calls to
+	// peers, and no other RateLimiter's lock is taken while it is held.
 	RateLimiter struct {
 		config RateLimiterConfig
+		// process identifies this process in loans.
+		process uint64
 
-		// The maps below are keyed by workspace.
-		mu      sync.Mutex
-		tokens  map[string]*workspaceTokens
-		buckets map[string]*quota.Bucket
-		// ownershipLostAt is when another instance became the owner of a bucket
-		// that is still held here.
-		ownershipLostAt map[string]clock.Millis
-		// exchanging holds the workspaces that have an exchange in progress.
-		exchanging map[string]bool
+		mu sync.Mutex
+		// workspaces is keyed by name.
+		workspaces map[string]*workspaceTokens
 	}
 
 	// workspaceTokens are the tokens of one workspace that this instance has fetched,
-	// and the requests that wait for more.
+	// the requests that wait for more, and the tokens that it can give out itself.
 	workspaceTokens struct {
 		quota.TokenCache
 		waiters []chan struct{}
 		// pendingWaiters are the waiters that the exchange in progress is for.
 		pendingWaiters []chan struct{}
-		// fallback is a bucket with this instance's equal share of the rate, used
-		// while the owner does not respond.
-		fallback *quota.Bucket
-		// lastFailureAt is when an exchange last failed, or zero if the last one
-		// succeeded.
-		lastFailureAt clock.Millis
+		// bucket is filled by the parts of the limit that are used here.
+		bucket *quota.Bucket
+		// part is this instance's own part of the limit.
+		part quota.Part
+		// exchanging holds the addresses to which an exchange is in progress.
+		exchanging map[string]bool
+		// redirectedTo is the address of the owner that a former one has named, which is
+		// asked until redirectUntil.
+		redirectedTo  string
+		redirectUntil clock.Millis
+		// ownerFailed is set if the last exchange with the owner has failed.
+		ownerFailed bool
+		// renewedAt is when the part was last lent to the owner.
+		renewedAt clock.Millis
 	}
 )
 
 const (
-	// exchangeInterval is the interval of the periodic exchanges with bucket owners.
-	exchangeInterval = 400 * time.Millisecond
 	// maxTokenWait is how long a request may wait for a token.
 	maxTokenWait = 160 * time.Millisecond
-	// exchangeTimeout limits one exchange with a bucket owner.
-	exchangeTimeout = 400 * time.Millisecond
-	// fallbackPeriod is how long the fallback bucket is used after a failed exchange.
-	fallbackPeriod = clock.Second
-	// handoverGrace is how long a former owner keeps granting tokens to instances that
-	// do not know the new owner yet.
-	handoverGrace = 400 * clock.Millis(1)
 	// maxTokenWaiters limits the requests of one workspace that wait for tokens.
 	maxTokenWaiters = 64
 )
 
 // NewRateLimiter returns a rate limiter without tokens and buckets.
 func NewRateLimiter(config RateLimiterConfig) *RateLimiter {
-	return &RateLimiter{
-		config:          config,
-		tokens:          make(map[string]*workspaceTokens),
-		buckets:         make(map[string]*quota.Bucket),
-		ownershipLostAt: make(map[string]clock.Millis),
-		exchanging:      make(map[string]bool),
-	}
+	return &RateLimiter{config: config, process: rand.Uint64(), workspaces: make(map[string]*workspaceTokens)}
 }
 
 // Admit implements Admitter. It waits up to maxTokenWait for a token from the bucket's
@@ -98,7 +93,7 @@
 	if wait == nil {
 		return admitted
 	}
-	r.fetch(workspace)
+	go r.fetch(workspace)
 	timer := time.NewTimer(maxTokenWait)
 	defer timer.Stop()
 	select {
@@ -106,10 +101,26 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
+	return r.take(workspace)
+}
+
+// fetch exchanges messages with the owner of a workspace's bucket at once.
+func (r *RateLimiter) fetch(workspace string) {
+	now := r.config.Clock.Now()
+	r.mu.Lock()
+	address := r.ownerAddress(now, workspace)
+	r.mu.Unlock()
+	r.exchange(address, []string{workspace})
+}
+
+// take takes a token that was fetched or, if there is none, one of this instance's own
+// bucket, and reports whether it got one.
+func (r *RateLimiter) take(workspace string) bool {
+	now := r.config.Clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	tokens := r.tokensOf(workspace)
-	return tokens.Spend() || r.takeFallback(workspace, tokens)
+	tokens := r.tokensOf(now, workspace)
+	return tokens.Spend() || tokens.bucket.Take(now, 1) >= 1
 }
 
 // Refund implements Admitter.
@@ -117,27 +128,12 @@
 	now := r.config.Clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	tokens := r.tokensOf(now, workspace)
 	if r.ownsBucket(workspace) {
-		r.bucket(now, workspace).Return(now, 1)
+		tokens.bucket.Return(now, 1)
 		return
 	}
-	r.tokensOf(workspace).Refund()
-}
-
-// takeFallback takes a token from the fallback bucket if an exchange failed within the
-// last fallbackPeriod. The caller must hold the lock.
-func (r *RateLimiter) takeFallback(workspace string, tokens *workspaceTokens) bool {
-	now := r.config.Clock.Now()
-	if tokens.lastFailureAt == 0 || now-tokens.lastFailureAt > fallbackPeriod {
-		return false
-	}
-	limit, _ := r.config.Limit(workspace)
-	share := limit.WithScale(1 / float64(max(r.config.InstanceCount(), 1)))
-	if tokens.fallback == nil {
-		tokens.fallback = quota.NewBucket(now, share)
-	}
-	tokens.fallback.SetLimit(now, share)
-	return tokens.fallback.Take(now, 1) >= 1
+	tokens.Refund()
 }
 
 // takeOrWait takes a token and reports whether it got one. If waiting for the bucket's
@@ -146,13 +142,16 @@
 	now := r.config.Clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	tokens := r.tokensOf(workspace)
+	tokens := r.tokensOf(now, workspace)
 	tokens.ObserveRequest(now)
 	if tokens.Spend() {
 		return true, nil
 	}
-	if r.ownsBucket(workspace) {
-		return r.bucket(now, workspace).Take(now, 1) >= 1, nil
+	owner := r.ownsBucket(workspace)
+	if owner || tokens.ownerFailed {
+		if admitted := tokens.bucket.Take(now, 1) >= 1; admitted || owner {
+			return admitted, nil
+		}
 	}
 	if tokens.IsExhausted(now) || len(tokens.waiters) >= maxTokenWaiters {
 		return false, nil
@@ -162,12 +161,20 @@
 	return false, wait
 }
 
-// tokensOf returns the fetched tokens of a workspace. The caller must hold the lock.
-func (r *RateLimiter) tokensOf(workspace string) *workspaceTokens {
-	tokens, ok := r.tokens[workspace]
+// tokensOf returns the tokens of a workspace, with the limit of its bucket up to date, and
+// this instance's part in the bucket unless it is lent to a peer. The caller must hold the
+// lock.
+func (r *RateLimiter) tokensOf(now clock.Millis, workspace string) *workspaceTokens {
+	limit, _ := r.config.Limit(workspace)
+	tokens, ok := r.workspaces[workspace]
 	if !ok {
-		tokens = &workspaceTokens{}
-		r.tokens[workspace] = tokens
+		tokens = &workspaceTokens{bucket: quota.NewBucket(now, limit), exchanging: make(map[string]bool)}
+		r.workspaces[workspace] = tokens
+	}
+	tokens.bucket.SetLimit(now, limit)
+	if tokens.part.IsHere(now) {
+		loan := quota.Loan{Fraction: r.config.Part(), Until: now + quota.PartTerm, Sequence: tokens.part.NextSequence()}
+		tokens.bucket.Lend(now, r.process, loan)
 	}
 	return tokens
 }
@@ -177,169 +184,18 @@
 	return r.config.BucketOwner(workspace).GetInstance() == r.config.Self
 }
 
-// bucket returns the bucket of a workspace with its limit up to date, and creates it if
-// necessary. The caller must hold the lock.
-func (r *RateLimiter) bucket(now clock.Millis, workspace string) *quota.Bucket {
-	limit, _ := r.config.Limit(workspace)
-	b, ok := r.buckets[workspace]
-	if !ok {
-		b = quota.NewBucket(now, limit)
-		r.buckets[workspace] = b
-	}
-	b.SetLimit(now, limit)
-	return b
-}
-
-// Run fetches tokens and returns unused ones periodically until the context ends.
-func (r *RateLimiter) Run(ctx context.Context) {
-	for ctx.Err() == nil {
-		for address, workspaces := range r.workspacesByOwner() {
-			go r.exchange(address, workspaces)
-		}
-		clock.Sleep(ctx, exchangeInterval)
-	}
-}
-
-// workspacesByOwner groups the workspaces that have had requests here by the address of
-// the instance that owns their bucket. Those owned by this instance are left out.
-func (r *RateLimiter) workspacesByOwner() map[string][]string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	byOwner := make(map[string][]string)
-	for workspace := range r.tokens {
-		owner := r.config.BucketOwner(workspace)
-		if owner.GetInstance() != r.config.Self {
-			byOwner[owner.GetPeerAddress()] = append(byOwner[owner.GetPeerAddress()], workspace)
-		}
-	}
-	return byOwner
-}
-
-// SyncBuckets creates the buckets that this instance owns, so that they start to fill
-// before the first request, and deletes those it no longer owns after handoverGrace.
+// SyncBuckets updates the buckets of the workspaces, so that they fill before the first
+// request, and removes workspaces that have no limit any more.
 func (r *RateLimiter) SyncBuckets(workspaces []string) {
 	now := r.config.Clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, workspace := range workspaces {
-		if r.ownsBucket(workspace) {
-			r.bucket(now, workspace)
-			delete(r.ownershipLostAt, workspace)
-			continue
-		}
-		if r.buckets[workspace] == nil {
-			continue
-		}
-		if _, ok := r.ownershipLostAt[workspace]; !ok {
-			r.ownershipLostAt[workspace] = now
-		}
-		if now-r.ownershipLostAt[workspace] > handoverGrace {
-			delete(r.buckets, workspace)
-			delete(r.ownershipLostAt, workspace)
-		}
-	}
-}
-
-// fetch starts an exchange for one workspace immediately.
-func (r *RateLimiter) fetch(workspace string) {
-	go r.exchange(r.config.BucketOwner(workspace).GetPeerAddress(), []string{workspace})
-}
-
-// exchange fetches the tokens that the workspaces need from the owner of their buckets
-// and returns surplus ones. Workspaces that have an exchange in progress are left out.
-func (r *RateLimiter) exchange(address string, workspaces []string) {
-	ask := r.buildAsk(workspaces)
-	if len(ask.GetWants()) == 0 {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
-	defer cancel()
-	response, err := r.config.Network.Call(ctx, address, &wire.PeerRequest{Body: &wire.PeerRequest_TokenAsk{TokenAsk: ask}})
-	if err != nil {
-		r.config.Log.Debug("token exchange failed", "peer", address, "error", err.Error())
+		r.tokensOf(now, workspace)
 	}
-	if waiting := r.applyGrant(ask, response.GetTokenGrant()); len(waiting) > 0 {
-		r.exchange(address, waiting)
-	}
-}
-
-// buildAsk returns the tokens to fetch and to return for the workspaces and marks these
-// as having an exchange in progress.
-func (r *RateLimiter) buildAsk(workspaces []string) *wire.TokenAsk {
-	now := r.config.Clock.Now()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	ask := &wire.TokenAsk{}
-	for _, workspace := range workspaces {
-		if r.exchanging[workspace] {
-			continue
-		}
-		tokens := r.tokensOf(workspace)
-		tokens.pendingWaiters, tokens.waiters = tokens.waiters, nil
-		want := &wire.TokenWant{Workspace: workspace, Tokens: tokens.TokensToFetch(now, len(tokens.pendingWaiters))}
-		if want.GetTokens() == 0 {
-			want.GiveBack = tokens.TakeSurplus(now)
-		}
-		if want.GetTokens() > 0 || want.GetGiveBack() > 0 {
-			r.exchanging[workspace] = true
-			ask.Wants = append(ask.Wants, want)
-		}
-	}
-	return ask
-}
-
-// applyGrant adds the granted tokens and wakes the requests that wait for them. It
-// returns the workspaces for which more requests have started to wait meanwhile. A peer
-// that does not own a bucket leaves its workspace out of the grant, which has the same
-// effect as no response.
-func (r *RateLimiter) applyGrant(ask *wire.TokenAsk, grant *wire.TokenGrant) []string {
-	now := r.config.Clock.Now()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	granted := make(map[string]bool, len(grant.GetParts()))
-	for _, part := range grant.GetParts() {
-		granted[part.GetWorkspace()] = true
-		r.tokensOf(part.GetWorkspace()).Add(now, part.GetTokens(), clock.Millis(part.GetEmptyMs()))
-	}
-	var waiting []string
-	for _, want := range ask.GetWants() {
-		tokens := r.tokensOf(want.GetWorkspace())
-		delete(r.exchanging, want.GetWorkspace())
-		if granted[want.GetWorkspace()] {
-			tokens.lastFailureAt, tokens.fallback = 0, nil
-		} else {
-			tokens.lastFailureAt = now
-		}
-		for _, wait := range tokens.pendingWaiters {
-			close(wait)
-		}
-		tokens.pendingWaiters = nil
-		if len(tokens.waiters) > 0 {
-			waiting = append(waiting, want.GetWorkspace())
-		}
-	}
-	return waiting
-}
-
-// HandleTokenAsk grants tokens to a peer and takes back those it returns. Workspaces
-// whose buckets this instance neither owns nor still holds are left out of the grant.
-func (r *RateLimiter) HandleTokenAsk(ask *wire.TokenAsk) *wire.TokenGrant {
-	now := r.config.Clock.Now()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	grant := &wire.TokenGrant{}
-	for _, want := range ask.GetWants() {
-		_, limited := r.config.Limit(want.GetWorkspace())
-		if !limited || (!r.ownsBucket(want.GetWorkspace()) && r.buckets[want.GetWorkspace()] == nil) {
-			continue
-		}
-		b := r.bucket(now, want.GetWorkspace())
-		b.Return(now, want.GetGiveBack())
-		part := &wire.TokenPart{Workspace: want.GetWorkspace(), Tokens: b.Take(now, want.GetTokens())}
-		if part.GetTokens() < 1 && want.GetTokens() > 0 {
-			part.EmptyMs = int64(b.TimeToNextToken(now))
+	for workspace, tokens := range r.workspaces {
+		if _, limited := r.config.Limit(workspace); !limited && len(tokens.exchanging) == 0 && tokens.part.IsHere(now) && len(tokens.waiters) == 0 {
+			delete(r.workspaces, workspace)
 		}
-		grant.Parts = append(grant.Parts, part)
 	}
-	return grant
 }
--- a/steering/run.go
+++ b/steering/run.go
@@ -68,6 +68,8 @@
 	// defaultResponseMemoryMB replaces that share where the instance has no limit.
 	defaultResponseMemoryMB = 128
 	mebibyte                = 1 << 20
+	// partUnit is the number of units of the metric quota.part that make a whole.
+	partUnit = 1e6
 	// logFlushTime is the time allowed for writing the last log lines before the
 	// process exits.
 	logFlushTime = 20 * time.Millisecond
@@ -105,6 +107,7 @@
 	if err := p.serveEndpoints(); err != nil {
 		return err
 	}
+	p.Membership.onPartChange = func() { p.Gossip.Notify(p.Membership.ownerAddresses()) }
 	go p.Transport.Serve(background, p.handlePeer)
 	go p.followTable(background, p.ControlState.Rules)
 	go p.followTable(background, p.ControlState.Servers)
@@ -156,6 +159,7 @@
 		p.Membership.refresh()
 		p.ControlState.DetectOutage()
 		metrics.GetOrRegisterCounter("refusals.needless", p.Metrics).Inc(int64(p.Balancer.TakeNeedlessRefusals()))
+		metrics.GetOrRegisterGauge("quota.part", p.Metrics).Update(int64(p.Membership.ownPart() * partUnit))
 		p.RateLimiter.SyncBuckets(p.ControlState.RateLimitedWorkspaces())
 		if time.Since(prunedAt) > pruneInterval {
 			prunedAt = time.Now()
@@ -180,12 +184,16 @@
 	grace := p.LiveSettings.get().Bounds.StopTimeout.Duration()
 	p.Log.Info("stopping", "grace_ms", grace.Milliseconds())
 	p.Members.SetStopping()
+	p.Membership.refresh()
 	p.Gossip.NotifyNeighbors()
+	p.Gossip.Notify(p.Membership.ownerAddresses())
 	p.Gateway.DisableKeepAlives()
 	time.Sleep(grace * acceptPercent / 100)
 	p.Handler.Close()
 	time.Sleep(time.Until(startedAt.Add(grace - shutdownReserve - idleCloseLead)))
 	_ = listener.Close()
+	p.Membership.giveUpPart()
+	p.Gossip.Notify(p.Membership.ownerAddresses())
 	ctx, cancel := context.WithDeadline(context.Background(), startedAt.Add(grace-shutdownReserve))
 	defer cancel()
 	if err := p.Gateway.Shutdown(ctx); err != nil {
--- a/steering/steering_test.go
+++ b/steering/steering_test.go
@@ -213,24 +213,35 @@
 }
 
 // newTestRateLimiters returns the rate limiter of an instance that owns no buckets, and a
-// network to the one that owns them all.
-func newTestRateLimiters() (limiter *RateLimiter, network *bucketOwnerNetwork) {
+// network to the one that owns them all. Each has a half of the limit of 100 requests per
+// second.
+func newTestRateLimiters(c clock.Clock) (limiter *RateLimiter, network *bucketOwnerNetwork) {
 	limit := func(string) (quota.Limit, bool) { return quota.Limit{RatePerS: 100, Burst: 100}, true }
-	owner := func(string) *wire.FleetInstance { return &wire.FleetInstance{Instance: "owner"} }
+	owner := func(string) *wire.FleetInstance { return &wire.FleetInstance{Instance: "owner", PeerAddress: "owner"} }
 	network = &bucketOwnerNetwork{}
 	config := RateLimiterConfig{
-		Clock: clock.NewSystem(), Log: hclog.NewNullLogger(), Network: network, BucketOwner: owner, Self: "owner",
-		Limit: limit, InstanceCount: func() int { return 4 },
+		Clock: c, Log: hclog.NewNullLogger(), Metrics: metrics.NewRegistry(), Network: network, BucketOwner: owner, Self: "owner",
+		Limit: limit, Part: func() float64 { return 0.5 },
 	}
 	network.owner = NewRateLimiter(config)
 	config.Self = "other"
 	return NewRateLimiter(config), network
 }
 
+// fillBuckets lends the instances' parts to the owner and lets its bucket fill for a time
+// that is shorter than a loan.
+func fillBuckets(manual *clock.Manual, limiter *RateLimiter, network *bucketOwnerNetwork, length clock.Millis) {
+	network.owner.SyncBuckets([]string{"w"})
+	limiter.exchange("owner", []string{"w"})
+	manual.Advance(length)
+}
+
 // TestRateLimiterFetchesFromOwner checks that requests within the rate are admitted with
 // tokens from the bucket's owner.
 func TestRateLimiterFetchesFromOwner(t *testing.T) {
-	limiter, _ := newTestRateLimiters()
+	manual := &clock.Manual{}
+	limiter, network := newTestRateLimiters(manual)
+	fillBuckets(manual, limiter, network, 250)
 	for i := range 10 {
 		if !limiter.Admit(context.Background(), "w") {
 			t.Fatalf("request %d within the rate was refused", i)
@@ -238,10 +249,10 @@
 	}
 }
 
-// TestRateLimiterWithoutOwner checks that an instance admits requests at its equal share
-// of the rate, and no more, while the bucket's owner does not respond.
+// TestRateLimiterWithoutOwner checks that an instance admits requests at its own part of
+// the rate, and no more, while the bucket's owner does not respond.
 func TestRateLimiterWithoutOwner(t *testing.T) {
-	limiter, network := newTestRateLimiters()
+	limiter, network := newTestRateLimiters(clock.NewSystem())
 	network.disconnected = true
 	admitted := 0
 	startedAt := time.Now()
@@ -253,7 +264,7 @@
 	if admitted == 0 {
 		t.Error("no request was admitted")
 	}
-	if most := int(time.Since(startedAt).Seconds()*100/4 + 100/4*0.25 + 2); admitted > most {
+	if most := int(time.Since(startedAt).Seconds()*100/2 + 1); admitted > most {
 		t.Errorf("%d requests admitted, want at most %d", admitted, most)
 	}
 }
@@ -261,7 +272,9 @@
 // TestRefund checks that the tokens of requests that were not run can be used again, at
 // the bucket's owner and elsewhere, and that they never exceed the burst.
 func TestRefund(t *testing.T) {
-	other, network := newTestRateLimiters()
+	manual := &clock.Manual{}
+	other, network := newTestRateLimiters(manual)
+	fillBuckets(manual, other, network, 900)
 	for name, limiter := range map[string]*RateLimiter{"owner": network.owner, "other": other} {
 		t.Run(name, func(t *testing.T) {
 			admitted := 0
--- /dev/null
+++ b/steering/token_exchange.go
@@ -0,0 +1,268 @@
+package steering
+
+import (
+	"context"
+	"time"
+
+	"github.com/bulrushferry/bulrushferry/clock"
+	"github.com/bulrushferry/bulrushferry/quota"
+	"github.com/bulrushferry/bulrushferry/wire"
+	"github.com/rcrowley/go-metrics"
+)
+
+const (
+	// exchangeInterval is the interval of the periodic exchanges with bucket owners.
+	exchangeInterval = 400 * time.Millisecond
+	// renewInterval is how long a loan is not renewed where no tokens are needed. It is
+	// shorter than exchangeInterval.
+	renewInterval = 300 * clock.Millis(1)
+	// redirectTime is how long the owner that a former one has named is asked, for the time
+	// until this instance's own view of the fleet has followed.
+	redirectTime = 2 * clock.Second
+	// redirectInterval is the shortest time between two redirections, since two instances
+	// may name each other for a moment.
+	redirectInterval = 100 * clock.Millis(1)
+	// exchangeTimeout limits one exchange with a bucket owner.
+	exchangeTimeout = 400 * time.Millisecond
+)
+
+// Run fetches and returns tokens and lends parts periodically until the context ends.
+func (r *RateLimiter) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		for address, workspaces := range r.workspacesByPeer() {
+			go r.exchange(address, workspaces)
+		}
+		clock.Sleep(ctx, exchangeInterval)
+	}
+}
+
+// workspacesByPeer groups the workspaces by the addresses of the peers to exchange messages
+// with about them: the owner of the bucket, and another peer that has borrowed the part.
+func (r *RateLimiter) workspacesByPeer() map[string][]string {
+	now := r.config.Clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	byPeer := make(map[string][]string)
+	for workspace, tokens := range r.workspaces {
+		owner := ""
+		if !r.ownsBucket(workspace) {
+			owner = r.ownerAddress(now, workspace)
+			byPeer[owner] = append(byPeer[owner], workspace)
+		}
+		if borrower := tokens.part.LentTo(now); borrower != "" && borrower != owner {
+			byPeer[borrower] = append(byPeer[borrower], workspace)
+		}
+	}
+	return byPeer
+}
+
+// exchange fetches the tokens that the workspaces need from the peer at an address, returns
+// surplus ones, and lends or takes back this instance's parts. Workspaces that have an
+// exchange with that peer in progress are left out.
+func (r *RateLimiter) exchange(address string, workspaces []string) {
+	sentAt := r.config.Clock.Now()
+	ask := r.buildAsk(address, workspaces)
+	if len(ask.GetWants()) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
+	defer cancel()
+	response, err := r.config.Network.Call(ctx, address, &wire.PeerRequest{Body: &wire.PeerRequest_TokenAsk{TokenAsk: ask}})
+	if err != nil {
+		r.config.Log.Debug("token exchange failed", "peer", address, "error", err.Error())
+	}
+	for next, due := range r.applyGrant(address, sentAt, ask, response.GetTokenGrant()) {
+		r.exchange(next, due)
+	}
+}
+
+// buildAsk returns the message to the peer at an address about the workspaces, and marks
+// these as having an exchange in progress.
+func (r *RateLimiter) buildAsk(address string, workspaces []string) *wire.TokenAsk {
+	now := r.config.Clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	ask := &wire.TokenAsk{Sender: r.process}
+	for _, workspace := range workspaces {
+		tokens := r.tokensOf(now, workspace)
+		if tokens.exchanging[address] {
+			continue
+		}
+		want := &wire.TokenWant{Workspace: workspace}
+		if r.isOwnerAt(now, workspace, address) {
+			r.fillWant(now, address, tokens, want)
+		}
+		want.TakeBack = want.GetPart() == 0 && tokens.part.LentTo(now) == address && (!r.isOwnerAt(now, workspace, address) || r.config.Part() == 0)
+		if want.GetTokens() > 0 || want.GetGiveBack() > 0 || want.GetTakeBack() || want.GetPart() > 0 || r.seeksOffer(now, address, workspace, tokens) {
+			want.Sequence = tokens.part.NextSequence()
+			tokens.exchanging[address] = true
+			ask.Wants = append(ask.Wants, want)
+		}
+	}
+	return ask
+}
+
+// ownerAddress returns the address of the peer that owns a workspace's bucket: the one that
+// a former owner has named lately, or the one in this instance's view of the fleet. The
+// caller must hold the lock.
+func (r *RateLimiter) ownerAddress(now clock.Millis, workspace string) string {
+	if tokens := r.workspaces[workspace]; tokens != nil && now < tokens.redirectUntil {
+		return tokens.redirectedTo
+	}
+	return r.config.BucketOwner(workspace).GetPeerAddress()
+}
+
+// isOwnerAt reports whether the peer at an address owns a workspace's bucket. The caller must
+// hold the lock.
+func (r *RateLimiter) isOwnerAt(now clock.Millis, workspace, address string) bool {
+	return !r.ownsBucket(workspace) && r.ownerAddress(now, workspace) == address
+}
+
+// seeksOffer reports whether this instance needs an offer of the owner at an address to
+// lend it the part. The caller must hold the lock.
+func (r *RateLimiter) seeksOffer(now clock.Millis, address, workspace string, tokens *workspaceTokens) bool {
+	return r.isOwnerAt(now, workspace, address) && r.config.Part() > 0 && !tokens.part.HasOffer(now, address)
+}
+
+// fillWant sets the tokens to fetch from the owner at an address or to return to it, and
+// lends it the part. Where nothing else is sent, the loan is renewed every renewInterval.
+// The caller must hold the lock.
+func (r *RateLimiter) fillWant(now clock.Millis, address string, tokens *workspaceTokens, want *wire.TokenWant) {
+	tokens.pendingWaiters, tokens.waiters = append(tokens.pendingWaiters, tokens.waiters...), nil
+	want.Tokens = tokens.TokensToFetch(now, len(tokens.pendingWaiters))
+	if want.GetTokens() == 0 {
+		want.GiveBack = tokens.TakeSurplus(now)
+	}
+	fraction := r.config.Part()
+	renewed := tokens.part.LentTo(now) == address && now-tokens.renewedAt < renewInterval
+	if fraction == 0 || (renewed && want.GetTokens() == 0 && want.GetGiveBack() == 0) {
+		return
+	}
+	offer, ok := tokens.part.Lend(now, address)
+	if !ok {
+		return
+	}
+	tokens.renewedAt = now
+	want.GiveBack += tokens.bucket.TakeBack(now, r.process, tokens.part.NextSequence())
+	want.Part = fraction
+	want.Offer = &wire.PartOffer{Borrower: offer.Borrower, AtMs: int64(offer.At)}
+}
+
+// applyGrant applies the response to a message that was sent to the peer at an address, and
+// wakes the requests that wait for it. It returns the workspaces for which another exchange
+// is due at once, by the address of the peer: more requests have started to wait, the part
+// can be lent now, or the peer has named another owner. A peer that does not own a bucket
+// grants nothing, which has the same effect as no response.
+func (r *RateLimiter) applyGrant(address string, sentAt clock.Millis, ask *wire.TokenAsk, grant *wire.TokenGrant) map[string][]string {
+	now := r.config.Clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	parts := make(map[string]*wire.TokenPart, len(grant.GetParts()))
+	for _, part := range grant.GetParts() {
+		parts[part.GetWorkspace()] = part
+	}
+	due := make(map[string][]string)
+	for _, want := range ask.GetWants() {
+		workspace := want.GetWorkspace()
+		tokens := r.tokensOf(now, workspace)
+		delete(tokens.exchanging, address)
+		r.applyPart(now, address, sentAt, want, parts[workspace])
+		if tokens.redirect(now, parts[workspace].GetOwnerAddress(), r.config.SelfAddress) {
+			r.config.Log.Info("token bucket has another owner", "workspace", workspace, "former", address, "owner", tokens.redirectedTo)
+			due[tokens.redirectedTo] = append(due[tokens.redirectedTo], workspace)
+			continue
+		}
+		tokens.wakePending()
+		if !r.isOwnerAt(now, workspace, address) {
+			continue
+		}
+		tokens.ownerFailed = parts[workspace].GetOffer() == nil
+		canLend := want.GetPart() == 0 && r.config.Part() > 0 && tokens.part.IsHere(now) && tokens.part.HasOffer(now, address)
+		if len(tokens.waiters) > 0 || canLend {
+			due[address] = append(due[address], workspace)
+		}
+	}
+	return due
+}
+
+// redirect follows a former owner's word of who owns the bucket, unless it is this instance
+// or another redirection was just followed. Requests that wait go on waiting. It reports
+// whether the owner it names is to be asked.
+func (t *workspaceTokens) redirect(now clock.Millis, owner, self string) bool {
+	if owner == "" || owner == self || now < t.redirectUntil-redirectTime+redirectInterval {
+		return false
+	}
+	t.redirectedTo, t.redirectUntil = owner, now+redirectTime
+	t.waiters, t.pendingWaiters = append(t.pendingWaiters, t.waiters...), nil
+	return true
+}
+
+// wakePending wakes the requests that wait for the exchange that has ended.
+func (t *workspaceTokens) wakePending() {
+	for _, wait := range t.pendingWaiters {
+		close(wait)
+	}
+	t.pendingWaiters = nil
+}
+
+// applyPart adds what the peer at an address has granted, offered and returned in response
+// to a want; part may be nil. The caller must hold the lock.
+func (r *RateLimiter) applyPart(now clock.Millis, address string, sentAt clock.Millis, want *wire.TokenWant, part *wire.TokenPart) {
+	tokens := r.workspaces[want.GetWorkspace()]
+	if want.GetTokens() > 0 && part != nil {
+		tokens.Add(now, part.GetTokens(), clock.Millis(part.GetEmptyMs()))
+	}
+	if part.GetPartReturned() {
+		tokens.part.RecordReturn(address)
+		r.tokensOf(now, want.GetWorkspace()).bucket.Return(now, part.GetReturned())
+		metrics.GetOrRegisterCounter("quota.parts_returned", r.config.Metrics).Inc(1)
+	}
+	if offer := part.GetOffer(); offer != nil {
+		tokens.part.RecordOffer(sentAt, address, quota.Offer{Borrower: offer.GetBorrower(), At: clock.Millis(offer.GetAtMs())})
+	}
+}
+
+// HandleTokenAsk grants tokens to a peer, takes back those it returns, and borrows its parts
+// of the limits. Where this instance does not own the bucket, it returns the part.
+func (r *RateLimiter) HandleTokenAsk(ask *wire.TokenAsk) *wire.TokenGrant {
+	now := r.config.Clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	grant := &wire.TokenGrant{}
+	for _, want := range ask.GetWants() {
+		if _, limited := r.config.Limit(want.GetWorkspace()); !limited {
+			continue
+		}
+		bucket := r.tokensOf(now, want.GetWorkspace()).bucket
+		part := &wire.TokenPart{Workspace: want.GetWorkspace()}
+		grant.Parts = append(grant.Parts, part)
+		owner := r.ownsBucket(want.GetWorkspace())
+		if want.GetTakeBack() || !owner {
+			part.PartReturned = true
+			part.Returned = bucket.TakeBack(now, ask.GetSender(), want.GetSequence())
+		}
+		if !owner {
+			part.OwnerAddress = r.config.BucketOwner(want.GetWorkspace()).GetPeerAddress()
+			continue
+		}
+		r.borrow(now, bucket, ask.GetSender(), want)
+		bucket.Return(now, want.GetGiveBack())
+		part.Offer = &wire.PartOffer{Borrower: r.process, AtMs: int64(now)}
+		part.Tokens = bucket.Take(now, want.GetTokens())
+		if part.GetTokens() < 1 && want.GetTokens() > 0 {
+			part.EmptyMs = int64(bucket.TimeToNextToken(now))
+		}
+	}
+	return grant
+}
+
+// borrow adds the part that a peer lends to a bucket, until a quota.PartTerm after the
+// offer that it accepts. The caller must hold the lock.
+func (r *RateLimiter) borrow(now clock.Millis, bucket *quota.Bucket, lender uint64, want *wire.TokenWant) {
+	offer := want.GetOffer()
+	if want.GetPart() <= 0 || offer.GetBorrower() != r.process || clock.Millis(offer.GetAtMs()) > now {
+		return
+	}
+	loan := quota.Loan{Fraction: min(want.GetPart(), 1), Until: clock.Millis(offer.GetAtMs()) + quota.PartTerm, Sequence: want.GetSequence()}
+	bucket.Lend(now, lender, loan)
+}
--- a/steering/wiring.go
+++ b/steering/wiring.go
@@ -113,7 +113,10 @@
 }
 
 func newMembership(members *fleet.Members, state *ControlState, balancer *placement.Balancer) *membership {
-	return &membership{bootClock: clock.BootTime{}, members: members, controlState: state, balancer: balancer}
+	return &membership{
+		bootClock: clock.BootTime{}, members: members, controlState: state, balancer: balancer,
+		onPartChange: func() {}, startedAt: clock.BootTime{}.Now(),
+	}
 }
 
 func newTransport(s Settings, log hclog.Logger) (*peer.Transport, error) {
@@ -138,15 +141,17 @@
 	return g
 }
 
-func newRateLimiter(s Settings, m *membership, c clock.Clock, network *peer.Transport, log hclog.Logger) *RateLimiter {
+func newRateLimiter(s Settings, m *membership, network *peer.Transport, log hclog.Logger, registry metrics.Registry) *RateLimiter {
 	return NewRateLimiter(RateLimiterConfig{
-		Clock:         c,
-		Log:           log.Named("rates"),
-		Network:       network,
-		BucketOwner:   m.bucketOwner,
-		Self:          s.Instance,
-		Limit:         m.workspaceLimit,
-		InstanceCount: m.shareHolderCount,
+		Clock:       clock.BootTime{},
+		Log:         log.Named("rates"),
+		Metrics:     registry,
+		Network:     network,
+		BucketOwner: m.bucketOwner,
+		Self:        s.Instance,
+		SelfAddress: s.PeerAddress,
+		Limit:       m.workspaceLimit,
+		Part:        m.ownPart,
 	})
 }
 
