Believe a refusal without a name only on a connection's first exchange

What callers would have seen: a faulty server that writes an earlier refusal once more on a kept connection, without the name of its request, had a request that may not be repeated called not run although it ran, and run again at a second server. Reported by operators of similar systems; not seen with us before this search.

Cause: checkResponse of origin believed a decline before it looked at the name.

Fix: a decline without a name is believed only as the first response to the first request of a connection, where nothing else can have been declined. In entry any response without a name on a kept connection is rejected: there an answer of an earlier request passed as well.

Before: TestSecondCopyOfRefusal failed in 4 of its 5 cases without a name (ran 2 times and got 503) and held in the 5 with one; TestUnnamedResponseOnKeptConnection (entry) failed in both cases. After: all pass. Our stand-in of a backend server names its refusals like its answers now, as the header's comment asks.

--- a/backend/conn.go
+++ b/backend/conn.go
@@ -20,6 +20,8 @@
 		*socket.TrackedConn
 		reader *http1.ResponseReader
 		writer *bufio.Writer
+		// exchanges counts the requests sent on the connection.
+		exchanges int
 		// lastUsedAt is when the last complete response was read.
 		lastUsedAt clock.Millis
 	}
@@ -38,7 +40,8 @@
 
 const (
 	// RequestIDHeader identifies a request to the backend server, which may echo
-	// it in the response. A connection is reused only after a response that does.
+	// it in the response. A connection is reused only after a response that does; from
+	// then on all responses on it must.
 	RequestIDHeader = "Bulrushferry-Request-Id"
 	// DeadlineHeader holds the time left for a request, in milliseconds.
 	DeadlineHeader = "Deadline-Ms"
@@ -82,6 +85,7 @@
 	if err := c.SetDeadline(options.deadline); err != nil {
 		return ErrNotSent.Wrap(err, "setting the deadline")
 	}
+	c.exchanges++
 	if err := c.send(request); err != nil {
 		return err
 	}
@@ -89,7 +93,7 @@
 	if err := c.readResponse(response, options.hold); err != nil {
 		return err
 	}
-	return checkResponse(response, options.requestID)
+	return c.checkResponse(response, options.requestID)
 }
 
 // readResponse reads the header and the whole body. It rejects a body without a
@@ -141,12 +145,16 @@
 }
 
 // checkResponse rejects a response that names another request, or that says that
-// the server did not run the request.
-func checkResponse(response *fasthttp.Response, requestID string) error {
+// the server did not run the request. One that names no request is only taken for the first
+// response on the connection: later it may be a second copy of an earlier one.
+func (c *conn) checkResponse(response *fasthttp.Response, requestID string) error {
 	echoed := response.Header.Peek(RequestIDHeader)
 	if len(echoed) > 0 && string(echoed) != requestID {
 		return ErrMismatchedResponse.New("the answer is to request %s", echoed)
 	}
+	if len(echoed) == 0 && c.exchanges > 1 {
+		return ErrMismatchedResponse.New("the answer names no request, as earlier ones on the connection did")
+	}
 	if len(response.Header.Peek(DeclinedHeader)) > 0 {
 		return ErrDeclined.New("the backend server answered %d", response.StatusCode())
 	}
--- a/origin/conn.go
+++ b/origin/conn.go
@@ -16,6 +16,8 @@
 type conn struct {
 	*socket.TrackedConn
 	reader *http1.ResponseReader
+	// requests and responses count those sent and read on the connection.
+	requests, responses int
 	// serverLeaving is set once a response said that the server leaves.
 	serverLeaving bool
 	// lastUsedAt is when the last response was read.
@@ -50,6 +52,7 @@
 // exchange sends a request and reads the response to it. It reports whether the
 // connection can carry another request.
 func (c *conn) exchange(names HeaderNames, request *Request, memory *http1.Memory) (*Response, bool, error) {
+	c.requests++
 	if n, err := c.Write(request.encode(names)); err != nil {
 		if n == 0 {
 			return nil, false, ErrUnreachable.Wrap(err, "sending the request")
@@ -75,7 +78,7 @@
 		return nil, false, nil
 	}
 	if err == nil {
-		err = checkResponse(names, request.ID, response.message)
+		err = c.checkResponse(names, request.ID, response.message)
 	}
 	if err != nil {
 		response.Release()
@@ -98,6 +101,7 @@
 	if err := c.reader.ReadBody(message, framing, response.hold); err != nil {
 		return false, c.wrapError(err, "reading the answer's body")
 	}
+	c.responses++
 	named := len(message.Header.Peek(names.RequestID)) > 0
 	return named && framing != http1.UntilClose && !message.ConnectionClose(), nil
 }
@@ -109,13 +113,14 @@
 }
 
 // checkResponse rejects a response that a server did not make for the request. The
-// signature is required only of status codes below 300, and a response that declines
-// the request is not checked at all.
-func checkResponse(names HeaderNames, id string, response *fasthttp.Response) error {
-	if isDeclined(names, response) {
+// signature is required only of status codes below 300, and only a response that declines
+// the request need not name it, if nothing else can have been declined on the connection.
+func (c *conn) checkResponse(names HeaderNames, id string, response *fasthttp.Response) error {
+	named := string(response.Header.Peek(names.RequestID)) == id
+	if isDeclined(names, response) && (named || c.isFirstExchange()) {
 		return nil
 	}
-	if string(response.Header.Peek(names.RequestID)) != id {
+	if !named {
 		return ErrResponseLost.New("the answer of status %d does not name its request", response.StatusCode())
 	}
 	if len(response.Header.Peek(names.Signature)) == 0 && response.StatusCode() < fasthttp.StatusMultipleChoices {
@@ -127,6 +132,12 @@
 	return nil
 }
 
+// isFirstExchange reports whether the response that was read last is the first one on the
+// connection, to the first request.
+func (c *conn) isFirstExchange() bool {
+	return c.requests == 1 && c.responses == 1
+}
+
 // isDeclined reports whether the response says that the server did not run the
 // request.
 func isDeclined(names HeaderNames, response *fasthttp.Response) bool {
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -185,6 +185,7 @@
 	}
 	if !s.beginRequest() {
 		ctx.Error("draining", fasthttp.StatusServiceUnavailable)
+		ctx.Response.Header.Set(requestIDHeader, string(ctx.Request.Header.Peek(requestIDHeader)))
 		ctx.Response.Header.Set("Not-Run", "1")
 		ctx.Response.Header.Set("Draining", "1")
 		return
