Answer all requests that were passed on before a connection closes

Cause: with keep-alives disabled each response closed the connection, and the reader could take one more request between the last look and the close.

Fix: the response to the last request that was read carries Connection: close; after it is written no request is begun.

--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -2,13 +2,11 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net"
 	"os"
-	"strconv"
 	"sync"
 	"time"
 
@@ -38,6 +36,8 @@
 		closed bool
 		// closing is set once no further request is read.
 		closing bool
+		// lingering is set once the last response has been written.
+		lingering bool
 	}
 
 	// Exchange is a request and its response.
@@ -94,8 +94,7 @@
 		_ = c.SetReadDeadline(time.Now().Add(c.server.limits().IdleTimeout.Duration()))
 		_, err := c.reader.Peek(1)
 		if err == nil {
-			c.setReading(true)
-			return true
+			return c.beginRequest()
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			c.cancel()
@@ -128,11 +127,13 @@
 	}
 }
 
-// setReading records whether a request is being read.
-func (c *conn) setReading(reading bool) {
+// beginRequest records that a request is being read. It returns false if no further request
+// may be read, since the last response has been written meanwhile.
+func (c *conn) beginRequest() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reading = reading
+	c.reading = !c.closed && !c.closing
+	return c.reading
 }
 
 // allAnswered reports whether no request is pending.
@@ -290,14 +291,20 @@
 }
 
 // writeResponse writes a response, and closes the connection for writing if it is the last
-// one or there is none. The caller must hold the lock.
+// one or there is none. While keep-alives are disabled, the last one is that to the last
+// request that was read: those before it may have been passed on too. The caller must hold
+// the lock.
 func (c *conn) writeResponse(x *Exchange) {
 	if x.response == nil {
 		c.closed = true
 		c.lingeringClose()
 		return
 	}
-	closeAfter := x.closeAfter || c.server.keepAlivesDisabled.Load()
+	closeAfter := x.closeAfter
+	if c.server.keepAlivesDisabled.Load() {
+		c.closing = true
+		closeAfter = len(c.pending) == 1 && !c.reading
+	}
 	_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
 	_, err := c.Write(encodeResponse(x, closeAfter))
 	if err != nil {
@@ -314,8 +321,10 @@
 
 // lingeringClose closes the connection for writing and continues to read for up to
 // lingerTimeout. If the connection were closed at once, unread data from the caller would
-// cause a reset, which could discard a response that it has not read yet.
+// cause a reset, which could discard a response that it has not read yet. The caller must
+// hold the lock.
 func (c *conn) lingeringClose() {
+	c.lingering = true
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		_ = half.CloseWrite()
 	}
@@ -326,13 +335,7 @@
 // on its way, it first reads and discards data, until the caller disconnects or the
 // lingering close after the last response ends.
 func (c *conn) discardAndClose() {
-	c.mu.Lock()
-	idle := len(c.pending) == 0 && !c.closed
-	if !c.closed {
-		_ = c.SetReadDeadline(time.Time{})
-	}
-	c.mu.Unlock()
-	if !idle && c.ctx.Err() == nil {
+	if c.prepareDiscard() {
 		_, _ = c.reader.WriteTo(io.Discard)
 	}
 	c.cancel()
@@ -344,6 +347,23 @@
 	_ = c.Close()
 }
 
+// prepareDiscard reports whether data is to be discarded before the connection is closed,
+// and sets the read deadline for that.
+func (c *conn) prepareDiscard() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.lingering:
+		_ = c.SetReadDeadline(time.Now().Add(lingerTimeout))
+		return true
+	case c.ctx.Err() != nil:
+		return false
+	default:
+		_ = c.SetReadDeadline(time.Time{})
+		return len(c.pending) > 0 && !c.closed
+	}
+}
+
 // AwaitEarlierResponses waits until the responses to all earlier requests of the connection
 // have been written. It returns false if the connection has ended, in which case the
 // request need not be served.
@@ -356,53 +376,3 @@
 	}
 	return !c.closed
 }
-
-// encodeResponse returns a response in HTTP/1.1 wire format. It replaces the headers that
-// apply to a single connection, and sets Content-Length to the length of the body.
-func encodeResponse(x *Exchange, closeAfter bool) []byte {
-	response := x.response
-	body := response.Body()
-	out := make([]byte, 0, 512+len(body))
-	out = append(out, "HTTP/1.1 "...)
-	out = strconv.AppendInt(out, int64(response.StatusCode()), 10)
-	out = append(out, ' ')
-	out = append(out, fasthttp.StatusMessage(response.StatusCode())...)
-	out = append(out, "\r\n"...)
-	for key, value := range response.Header.All() {
-		if isConnectionHeader(key) || (len(value) == 0 && bytes.Equal(key, contentType)) {
-			continue
-		}
-		out = append(out, key...)
-		out = append(out, ": "...)
-		out = append(out, value...)
-		out = append(out, "\r\n"...)
-	}
-	if length, ok := contentLength(x); ok {
-		out = append(out, "Content-Length: "...)
-		out = strconv.AppendInt(out, int64(length), 10)
-		out = append(out, "\r\n"...)
-	}
-	if closeAfter {
-		out = append(out, "Connection: close\r\n"...)
-	}
-	out = append(out, "\r\n"...)
-	if x.Request.Header.IsHead() {
-		return out
-	}
-	return append(out, body...)
-}
-
-// contentLength returns the value of the Content-Length field of a response, and whether
-// the response has that field. The response to a HEAD request has no body and states the
-// length that the backend server stated, if it did.
-func contentLength(x *Exchange) (int, bool) {
-	status := x.response.StatusCode()
-	if status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified {
-		return 0, false
-	}
-	length := len(x.response.Body())
-	if x.Request.Header.IsHead() && length == 0 {
-		length = x.response.Header.ContentLength()
-	}
-	return length, length >= 0
-}
