Hand parts of limits over at once, and start with them where nobody uses them

Causes, told apart by the state that a refusal for the rate now logs (owner, tokens, parts, since when): - a new process knew no owner and took itself for it: it asks any instance that it knows of now, which names the owner; - a new owner's own part was still lent to the former one, and followers moved theirs at their next exchange only: parts move as soon as an instance's view changes, which is read at once when an entry has changed; - "no part yet" was told like "no token for 300 ms": requests wait instead, up to their usual limit; - tokens in a bucket whose owner is another were not used: they are; - a new process of a stopped instance waited 1.5 s: the stopping one takes its part back from all peers, and its entry says so; - all instances of a new fleet waited: they start at once if all that are listed know them and none uses a part. An instance that others do not know waits 1.5 s longer than before, until what they have lent as larger parts has ended; the former wait had left that out.

--- a/fleet/members.go
+++ b/fleet/members.go
@@ -33,6 +33,8 @@
 		// predecessor is the entry of an earlier process of this instance, as a peer has
 		// reported it.
 		predecessor *wire.FleetInstance
+		// changed holds an element if an entry has changed since Changed was last read.
+		changed chan struct{}
 	}
 
 	// majority is a result of InMajority and the time for which it holds unless a member
@@ -83,7 +85,7 @@
 // NewMembers returns the members known to a new process: only itself. term is how
 // long an instance that hears from nobody goes on serving.
 func NewMembers(self *wire.FleetInstance, term clock.Millis) *Members {
-	m := &Members{shareTimeout: term + shareMargin, others: make(map[string]*member), entries: make(map[uint64]*wire.FleetInstance)}
+	m := &Members{shareTimeout: term + shareMargin, others: make(map[string]*member), entries: make(map[uint64]*wire.FleetInstance), changed: make(chan struct{}, 1)}
 	m.setSelf(self)
 	return m
 }
@@ -115,6 +117,15 @@
 	m.setSelf(self)
 }
 
+// SetPartFree records that no peer uses this instance's part of the limits any more.
+func (m *Members) SetPartFree() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	self := proto.CloneOf(m.self)
+	self.PartFree = true
+	m.setSelf(self)
+}
+
 // SetHoldsPart sets whether this instance has a part of the limits on workspaces.
 func (m *Members) SetHoldsPart(holds bool) {
 	m.mu.Lock()
@@ -194,9 +205,21 @@
 	}
 	m.others[info.GetInstance()] = current
 	m.majority = majority{}
+	if !ok || old.hash != hash {
+		select {
+		case m.changed <- struct{}{}:
+		default:
+		}
+	}
 	return restarted
 }
 
+// Changed returns a channel that delivers an element after the entries of other instances
+// have changed.
+func (m *Members) Changed() <-chan struct{} {
+	return m.changed
+}
+
 // removeSilent removes the instances that have been silent for memberRetention, such
 // as those replaced by instances with new names. The caller must hold the lock.
 func (m *Members) removeSilent(now clock.Millis) {
@@ -352,6 +375,32 @@
 	return m.predecessor
 }
 
+// OthersHoldParts reports whether another instance has said that it has a part of the limits
+// on workspaces.
+func (m *Members) OthersHoldParts() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, other := range m.others {
+		if other.info.GetHoldsPart() {
+			return true
+		}
+	}
+	return false
+}
+
+// Running returns the other known instances that are not stopping, heard or not.
+func (m *Members) Running() []*wire.FleetInstance {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []*wire.FleetInstance
+	for _, other := range m.others {
+		if !other.info.GetStopping() {
+			out = append(out, other.info)
+		}
+	}
+	return out
+}
+
 // SpreadTime returns how long it takes until all instances that are in contact have heard
 // of a new one.
 func (m *Members) SpreadTime() clock.Millis {
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -117,6 +117,12 @@
 	b.trim(now)
 }
 
+// State returns the tokens in the bucket, and the fraction of the limit that is lent to it.
+func (b *Bucket) State(now clock.Millis) (tokens, fraction float64) {
+	b.refill(now)
+	return b.tokens, b.fraction(now)
+}
+
 // TimeToNextToken returns how long it takes until a whole token is available, or
 // zero if one is. Other results are raised to minTimeToNextToken and limited to
 // maxTimeToNextToken.
--- a/quota/token_cache.go
+++ b/quota/token_cache.go
@@ -57,6 +57,11 @@
 	return c.tokens < 1 && now < c.exhaustedUntil
 }
 
+// ExhaustedFor returns how long the owner has no token yet, as it said last.
+func (c *TokenCache) ExhaustedFor(now clock.Millis) clock.Millis {
+	return max(c.exhaustedUntil-now, 0)
+}
+
 // TokensToFetch returns how many tokens to request from the owner, given the
 // number of requests waiting for one.
 func (c *TokenCache) TokensToFetch(now clock.Millis, waiting int) float64 {
--- a/steering/handler.go
+++ b/steering/handler.go
@@ -25,6 +25,8 @@
 		// Refund gives the token of a request back that was admitted a moment ago
 		// and not run.
 		Refund(workspace string)
+		// Describe returns log fields that say what a refusal was based on.
+		Describe(workspace string) []any
 	}
 
 	// HandlerConfig configures a Handler.
@@ -235,7 +237,7 @@
 		return true
 	}
 	if !h.config.RateLimiter.Admit(req.ctx, req.workspace.Name) {
-		return h.refuse(req, fasthttp.StatusTooManyRequests, "workspace "+req.workspace.Name+" is over its rate", rateLimitRetryAfter)
+		return h.refuse(req, fasthttp.StatusTooManyRequests, "workspace "+req.workspace.Name+" is over its rate", rateLimitRetryAfter, h.config.RateLimiter.Describe(req.workspace.Name)...)
 	}
 	req.admittedAt = h.config.Clock.Now()
 	return true
--- a/steering/join.go
+++ b/steering/join.go
@@ -31,20 +31,22 @@
 // Registration and discovery are retried until both have succeeded.
 func (p process) join(ctx context.Context) {
 	startedAt := time.Now()
-	registered, replaced := false, false
+	registered := false
+	how := joining{}
 	for attempts := 0; ctx.Err() == nil; attempts++ {
 		if !registered {
-			registered, replaced = p.register(ctx)
+			registered, how.replaced = p.register(ctx)
 			// An earlier attempt may have stored the entry although it failed.
-			replaced = replaced && attempts == 0
+			how.replaced = how.replaced && attempts == 0
+			how.registeredAt = clock.BootTime{}.Now()
 		}
-		if registered && p.discover(ctx) {
-			p.allowPart(replaced)
+		if registered && p.discover(ctx, &how) {
+			p.allowPart(how)
 			return
 		}
 		if p.askPeers(ctx, p.LiveSettings.get().Seeds) > 0 {
 			p.markJoined("a seed")
-			p.allowPart(false)
+			p.allowPart(joining{registeredAt: clock.BootTime{}.Now()})
 		}
 		if time.Since(startedAt) > joinTimeout {
 			p.markJoined("nobody")
@@ -91,8 +93,9 @@
 }
 
 // allowPart lets the instance use its own part of the limits on workspaces.
-func (p process) allowPart(replaced bool) {
-	wait, reason := p.Membership.allowPart(replaced)
+func (p process) allowPart(how joining) {
+	wait, reason := p.Membership.allowPart(how)
+	p.Membership.refresh()
 	p.Log.Info("part of the limits on workspaces", "instances", p.Members.PartHolders(clock.BootTime{}.Now()), "wait_ms", int64(wait), "reason", reason)
 }
 
@@ -112,8 +115,9 @@
 // discover reads the list of the registered instances, lets this one serve, and sends
 // gossip requests to up to joinFanout of them, chosen at random. It reports whether the
 // list could be read. Until peers have answered, this instance takes its share of the
-// limits as one of all that are registered.
-func (p process) discover(ctx context.Context) bool {
+// limits as one of all that are registered. It records whether all listed instances have
+// answered.
+func (p process) discover(ctx context.Context, how *joining) bool {
 	listCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	list, invalid, err := p.Adapter.Store.Instances(listCtx)
@@ -128,9 +132,11 @@
 	p.markJoined("the platform's list")
 	addresses := make([]string, 0, len(list))
 	for _, info := range list {
-		addresses = append(addresses, info.GetPeerAddress())
+		if info.GetInstance() != p.Adapter.Settings.Instance {
+			addresses = append(addresses, info.GetPeerAddress())
+		}
 	}
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	p.askPeers(ctx, addresses[:min(len(addresses), joinFanout)])
+	how.allTold = p.askPeers(ctx, addresses[:min(len(addresses), joinFanout)]) == len(addresses)
 	return true
 }
--- a/steering/membership.go
+++ b/steering/membership.go
@@ -21,8 +21,9 @@
 	controlState *ControlState
 	balancer     *placement.Balancer
 	// onPartChange is called when the instance begins or ceases to have a part of the
-	// limits, which others have to know soon.
-	onPartChange func()
+	// limits, which others have to know soon, onOwnersChange when the owners of token
+	// buckets have changed.
+	onPartChange, onOwnersChange func()
 
 	mu sync.Mutex
 	// shareHolders are the names of the instances that share the limits, including
@@ -33,8 +34,6 @@
 	// relaying is set while this instance is the relay of its region: the one that
 	// reads the platform's store and passes updates on to its peers.
 	relaying bool
-	// part is the fraction of all limits that is this instance's own.
-	part float64
 	// refreshedAt is when the members were last read.
 	refreshedAt clock.Millis
 	// partFrom is when the instance may use its part; zero if that is not known yet.
@@ -45,6 +44,17 @@
 	startedAt clock.Millis
 }
 
+// joining tells how an instance has joined the fleet.
+type joining struct {
+	// replaced is set if the platform's list held an entry of an earlier process, which
+	// may have lent the part until shortly before it ended.
+	replaced bool
+	// registeredAt is when the instance's entry was stored; from then on it is listed.
+	registeredAt clock.Millis
+	// allTold is set if all listed instances have answered this one, and so know of it.
+	allTold bool
+}
+
 const (
 	// maxBucketOwners limits the number of bucket owners, so that one token exchange
 	// covers many workspaces.
@@ -61,13 +71,18 @@
 
 // bucketOwner returns the instance that owns a workspace's token bucket, chosen by
 // rendezvous hashing. All instances with the same view of the fleet choose the same
-// one.
+// one. An instance that has no part and knows no owner names any other instance, which
+// names the owner.
 func (m *membership) bucketOwner(workspace string) *wire.FleetInstance {
 	m.mu.Lock()
-	defer m.mu.Unlock()
+	candidates := m.bucketOwners
+	m.mu.Unlock()
+	if len(candidates) == 0 && m.ownPart() == 0 {
+		candidates = m.members.Running()
+	}
 	owner := m.members.Self()
 	highest := uint64(0)
-	for _, info := range m.bucketOwners {
+	for _, info := range candidates {
 		if score := xxhash.Sum64String(info.GetInstance() + "/" + workspace); score >= highest {
 			owner, highest = info, score
 		}
@@ -92,29 +107,30 @@
 func (m *membership) ownPart() float64 {
 	now := m.bootClock.Now()
 	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.partGivenUp || m.partFrom == 0 || now < m.partFrom || now-m.refreshedAt > quota.PartTerm {
+	none := m.partGivenUp || m.partFrom == 0 || now < m.partFrom || now-m.refreshedAt > quota.PartTerm
+	m.mu.Unlock()
+	if none {
 		return 0
 	}
-	return m.part
+	return 1 / float64(m.members.PartHolders(now))
 }
 
 // allowPart lets the instance use its own part of the limits from some time on, and returns
-// how long it waits and why. replaced is set if the platform's list held an entry of an
-// earlier process, which may have lent the part until shortly before it ended. The others
-// count this instance under its name: a new one waits until they have heard of it.
-func (m *membership) allowPart(replaced bool) (wait clock.Millis, reason string) {
+// how long it waits and why. The others count this instance under its name: a new one waits
+// until they have heard of it and what they have lent as larger parts has ended.
+func (m *membership) allowPart(how joining) (wait clock.Millis, reason string) {
 	now := m.bootClock.Now()
 	predecessor := m.members.OwnPredecessor()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	from := now + max(quota.PartTerm, m.members.SpreadTime())
-	reason = "a new instance"
+	from, reason := how.registeredAt+m.members.SpreadTime()+quota.PartTerm, "a new instance"
 	switch {
-	case predecessor != nil && !predecessor.GetHoldsPart():
-		from, reason = now-clock.Millis(predecessor.GetHeardAgeMs())+quota.PartTerm, "its earlier process gave its part up"
-	case predecessor != nil || replaced:
+	case predecessor.GetPartFree():
+		from, reason = now, "its earlier process has taken its part back"
+	case predecessor != nil || how.replaced:
 		from, reason = m.startedAt+quota.PartTerm, "its earlier process may have lent its part"
+	case how.allTold && !m.members.OthersHoldParts():
+		from, reason = now, "no other instance uses a part yet"
 	}
 	if m.partFrom == 0 {
 		m.partFrom = max(from, now)
@@ -155,14 +171,14 @@
 	now := m.bootClock.Now()
 	shareHolders := m.members.ShareHolders(now)
 	running := m.running(now)
-	part := 1 / float64(m.members.PartHolders(now))
 	spread := m.members.SpreadTime()
 	m.mu.Lock()
 	changed := !slices.Equal(shareHolders, m.shareHolders)
 	m.shareHolders = shareHolders
+	before := m.bucketOwners
 	m.bucketOwners = pickBucketOwners(running)
+	ownersChanged := !slices.EqualFunc(before, m.bucketOwners, func(a, b *wire.FleetInstance) bool { return a.GetIncarnation() == b.GetIncarnation() })
 	m.relaying = isRegionRelay(running, m.members.Self())
-	m.part = part
 	if m.refreshedAt > 0 && now-m.refreshedAt > quota.PartTerm {
 		m.partFrom = max(m.partFrom, now+spread)
 	}
@@ -172,6 +188,9 @@
 		m.members.SetHoldsPart(holds)
 		m.onPartChange()
 	}
+	if ownersChanged {
+		m.onOwnersChange()
+	}
 	if changed {
 		m.balancer.SetFleet(placement.Fleet{Self: m.members.Self().GetInstance(), Members: shareHolders})
 	}
--- a/steering/rate_limiter.go
+++ b/steering/rate_limiter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -67,7 +68,9 @@
 		// asked until redirectUntil.
 		redirectedTo  string
 		redirectUntil clock.Millis
-		// ownerFailed is set if the last exchange with the owner has failed.
+		// noPartSince is since when the owner has had no part of the limit, or zero.
+		noPartSince clock.Millis
+		// ownerFailed is set if the last exchange with the owner has failed, for the log.
 		ownerFailed bool
 		// renewedAt is when the part was last lent to the owner.
 		renewedAt clock.Millis
@@ -104,6 +107,21 @@
 	return r.take(workspace)
 }
 
+// Describe implements Admitter.
+func (r *RateLimiter) Describe(workspace string) []any {
+	now := r.config.Clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	tokens := r.tokensOf(now, workspace)
+	inBucket, fraction := tokens.bucket.State(now)
+	return []any{
+		"owner", r.ownerAddress(now, workspace), "owner_here", r.ownsBucket(workspace), "owner_failed", tokens.ownerFailed,
+		"tokens", math.Round(tokens.Tokens()*100) / 100, "bucket_tokens", math.Round(inBucket*100) / 100, "bucket_part", math.Round(fraction*1000) / 1000,
+		"own_part", math.Round(r.config.Part()*1000) / 1000, "lent_to", tokens.part.LentTo(now), "empty_ms", int64(tokens.ExhaustedFor(now)),
+		"waiting", len(tokens.waiters) + len(tokens.pendingWaiters),
+	}
+}
+
 // fetch exchanges messages with the owner of a workspace's bucket at once.
 func (r *RateLimiter) fetch(workspace string) {
 	now := r.config.Clock.Now()
@@ -147,13 +165,10 @@
 	if tokens.Spend() {
 		return true, nil
 	}
-	owner := r.ownsBucket(workspace)
-	if owner || tokens.ownerFailed {
-		if admitted := tokens.bucket.Take(now, 1) >= 1; admitted || owner {
-			return admitted, nil
-		}
+	if tokens.bucket.Take(now, 1) >= 1 {
+		return true, nil
 	}
-	if tokens.IsExhausted(now) || len(tokens.waiters) >= maxTokenWaiters {
+	if r.ownsBucket(workspace) || tokens.IsExhausted(now) || len(tokens.waiters) >= maxTokenWaiters {
 		return false, nil
 	}
 	wait := make(chan struct{})
--- a/steering/run.go
+++ b/steering/run.go
@@ -10,7 +10,6 @@
 	"os"
 	"time"
 
-	"github.com/bulrushferry/bulrushferry/clock"
 	"github.com/bulrushferry/bulrushferry/fleet"
 	"github.com/bulrushferry/bulrushferry/gateway"
 	"github.com/bulrushferry/bulrushferry/http1"
@@ -108,6 +107,7 @@
 		return err
 	}
 	p.Membership.onPartChange = func() { p.Gossip.Notify(p.Membership.ownerAddresses()) }
+	p.Membership.onOwnersChange = func() { p.RateLimiter.MoveParts() }
 	go p.Transport.Serve(background, p.handlePeer)
 	go p.followTable(background, p.ControlState.Rules)
 	go p.followTable(background, p.ControlState.Servers)
@@ -149,7 +149,7 @@
 	}
 }
 
-// refreshPeriodically updates this instance's readiness, the shares of the fleet-wide
+// refreshPeriodically updates, also whenever other instances' entries change, this instance's readiness, the shares of the fleet-wide
 // limits, the outage detection and the token buckets, and prunes the connection pool,
 // until the context ends.
 func (p process) refreshPeriodically(ctx context.Context) {
@@ -165,10 +165,24 @@
 			prunedAt = time.Now()
 			p.Pool.Prune(p.takesRequests)
 		}
-		clock.Sleep(ctx, refreshInterval)
+		select {
+		case <-ctx.Done():
+		case <-p.Members.Changed():
+		case <-time.After(refreshInterval):
+		}
 	}
 }
 
+// giveUpPart ends the use of this instance's part of the limits on workspaces, and tells the
+// owners of token buckets whether its next process can use it at once.
+func (p process) giveUpPart(ctx context.Context) {
+	p.Membership.giveUpPart()
+	if p.RateLimiter.TakeBackParts() {
+		p.Members.SetPartFree()
+	}
+	p.askPeers(ctx, p.Membership.ownerAddresses())
+}
+
 // takesRequests reports whether a backend server is listed or retained and has not said
 // that it leaves.
 func (p process) takesRequests(server string) bool {
@@ -192,14 +206,24 @@
 	p.Handler.Close()
 	time.Sleep(time.Until(startedAt.Add(grace - shutdownReserve - idleCloseLead)))
 	_ = listener.Close()
-	p.Membership.giveUpPart()
-	p.Gossip.Notify(p.Membership.ownerAddresses())
 	ctx, cancel := context.WithDeadline(context.Background(), startedAt.Add(grace-shutdownReserve))
 	defer cancel()
+	partGivenUp := make(chan struct{})
+	go func() {
+		p.giveUpPart(ctx)
+		close(partGivenUp)
+	}()
 	if err := p.Gateway.Shutdown(ctx); err != nil {
+	partGivenUp := make(chan struct{})
+	go func() {
+		p.giveUpPart(ctx)
+		close(partGivenUp)
+	}()
 		p.Log.Warn("connections were still open at the end of the grace period", "error", err.Error())
 	}
+	<-partGivenUp
 	if err := p.Adapter.Store.Deregister(ctx, p.Members.Self()); err != nil {
+	<-partGivenUp
 		p.Log.Warn("deregistering this instance failed", "error", err.Error())
 	}
 }
--- a/steering/token_exchange.go
+++ b/steering/token_exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/bulrushferry/bulrushferry/clock"
@@ -10,12 +11,23 @@
 	"github.com/rcrowley/go-metrics"
 )
 
+// followUp holds the exchanges that are due after another one.
+type followUp struct {
+	// byPeer holds the workspaces by the addresses of the peers.
+	byPeer map[string][]string
+	// pause is the time to wait before.
+	pause clock.Millis
+}
+
 const (
 	// exchangeInterval is the interval of the periodic exchanges with bucket owners.
 	exchangeInterval = 400 * time.Millisecond
 	// renewInterval is how long a loan is not renewed where no tokens are needed. It is
 	// shorter than exchangeInterval.
 	renewInterval = 300 * clock.Millis(1)
+	// noPartPause is the pause before a new owner that has no part of the limit yet is asked
+	// again, where requests wait.
+	noPartPause = 20 * clock.Millis(1)
 	// redirectTime is how long the owner that a former one has named is asked, for the time
 	// until this instance's own view of the fleet has followed.
 	redirectTime = 2 * clock.Second
@@ -29,13 +41,38 @@
 // Run fetches and returns tokens and lends parts periodically until the context ends.
 func (r *RateLimiter) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		for address, workspaces := range r.workspacesByPeer() {
-			go r.exchange(address, workspaces)
-		}
+		r.MoveParts()
 		clock.Sleep(ctx, exchangeInterval)
 	}
 }
 
+// MoveParts exchanges messages at once with the owners of buckets and with the peers that use
+// this instance's parts of buckets that they do not own any more.
+func (r *RateLimiter) MoveParts() {
+	for address, workspaces := range r.workspacesByPeer() {
+		go r.exchange(address, workspaces)
+	}
+}
+
+// TakeBackParts takes this instance's parts back from all peers and reports whether none
+// uses one any more. Part must have become zero before.
+func (r *RateLimiter) TakeBackParts() bool {
+	var group sync.WaitGroup
+	for address, workspaces := range r.workspacesByPeer() {
+		group.Go(func() { r.exchange(address, workspaces) })
+	}
+	group.Wait()
+	now := r.config.Clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, tokens := range r.workspaces {
+		if !tokens.part.IsHere(now) {
+			return false
+		}
+	}
+	return true
+}
+
 // workspacesByPeer groups the workspaces by the addresses of the peers to exchange messages
 // with about them: the owner of the bucket, and another peer that has borrowed the part.
 func (r *RateLimiter) workspacesByPeer() map[string][]string {
@@ -71,8 +108,10 @@
 	if err != nil {
 		r.config.Log.Debug("token exchange failed", "peer", address, "error", err.Error())
 	}
-	for next, due := range r.applyGrant(address, sentAt, ask, response.GetTokenGrant()) {
-		r.exchange(next, due)
+	due := r.applyGrant(address, sentAt, ask, response.GetTokenGrant())
+	time.Sleep(due.pause.Duration())
+	for next, list := range due.byPeer {
+		r.exchange(next, list)
 	}
 }
 
@@ -150,10 +189,10 @@
 
 // applyGrant applies the response to a message that was sent to the peer at an address, and
 // wakes the requests that wait for it. It returns the workspaces for which another exchange
-// is due at once, by the address of the peer: more requests have started to wait, the part
-// can be lent now, or the peer has named another owner. A peer that does not own a bucket
+// is due: more requests have started to wait, the part can be lent now, the peer has named
+// another owner, or it has no part of the limit yet. A peer that does not own a bucket
 // grants nothing, which has the same effect as no response.
-func (r *RateLimiter) applyGrant(address string, sentAt clock.Millis, ask *wire.TokenAsk, grant *wire.TokenGrant) map[string][]string {
+func (r *RateLimiter) applyGrant(address string, sentAt clock.Millis, ask *wire.TokenAsk, grant *wire.TokenGrant) followUp {
 	now := r.config.Clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -161,7 +200,7 @@
 	for _, part := range grant.GetParts() {
 		parts[part.GetWorkspace()] = part
 	}
-	due := make(map[string][]string)
+	due := followUp{byPeer: make(map[string][]string)}
 	for _, want := range ask.GetWants() {
 		workspace := want.GetWorkspace()
 		tokens := r.tokensOf(now, workspace)
@@ -169,22 +208,33 @@
 		r.applyPart(now, address, sentAt, want, parts[workspace])
 		if tokens.redirect(now, parts[workspace].GetOwnerAddress(), r.config.SelfAddress) {
 			r.config.Log.Info("token bucket has another owner", "workspace", workspace, "former", address, "owner", tokens.redirectedTo)
-			due[tokens.redirectedTo] = append(due[tokens.redirectedTo], workspace)
+			due.add(tokens.redirectedTo, workspace)
 			continue
 		}
+		if tokens.awaitsPart(now, parts[workspace].GetNoPart()) {
+			tokens.keepPending()
+			due.pause = noPartPause
+		}
 		tokens.wakePending()
 		if !r.isOwnerAt(now, workspace, address) {
+			if owner := r.ownerAddress(now, workspace); parts[workspace].GetPartReturned() && !r.ownsBucket(workspace) && owner != r.config.SelfAddress {
+				due.add(owner, workspace)
+			}
 			continue
 		}
 		tokens.ownerFailed = parts[workspace].GetOffer() == nil
 		canLend := want.GetPart() == 0 && r.config.Part() > 0 && tokens.part.IsHere(now) && tokens.part.HasOffer(now, address)
 		if len(tokens.waiters) > 0 || canLend {
-			due[address] = append(due[address], workspace)
+			due.add(address, workspace)
 		}
 	}
 	return due
 }
 
+func (f *followUp) add(address, workspace string) {
+	f.byPeer[address] = append(f.byPeer[address], workspace)
+}
+
 // redirect follows a former owner's word of who owns the bucket, unless it is this instance
 // or another redirection was just followed. Requests that wait go on waiting. It reports
 // whether the owner it names is to be asked.
@@ -193,10 +243,27 @@
 		return false
 	}
 	t.redirectedTo, t.redirectUntil = owner, now+redirectTime
-	t.waiters, t.pendingWaiters = append(t.pendingWaiters, t.waiters...), nil
+	t.keepPending()
 	return true
 }
 
+// awaitsPart reports whether requests wait for an owner that has no part of the limit yet, and
+// can go on waiting.
+func (t *workspaceTokens) awaitsPart(now clock.Millis, noPart bool) bool {
+	if !noPart || t.noPartSince == 0 {
+		t.noPartSince = 0
+		if noPart {
+			t.noPartSince = now
+		}
+	}
+	return noPart && len(t.pendingWaiters) > 0 && now-t.noPartSince < clock.FromDuration(maxTokenWait)
+}
+
+// keepPending has the requests that wait for the exchange that has ended wait for the next.
+func (t *workspaceTokens) keepPending() {
+	t.waiters, t.pendingWaiters = append(t.pendingWaiters, t.waiters...), nil
+}
+
 // wakePending wakes the requests that wait for the exchange that has ended.
 func (t *workspaceTokens) wakePending() {
 	for _, wait := range t.pendingWaiters {
@@ -249,7 +316,9 @@
 		bucket.Return(now, want.GetGiveBack())
 		part.Offer = &wire.PartOffer{Borrower: r.process, AtMs: int64(now)}
 		part.Tokens = bucket.Take(now, want.GetTokens())
-		if part.GetTokens() < 1 && want.GetTokens() > 0 {
+		_, fraction := bucket.State(now)
+		part.NoPart = fraction == 0
+		if part.GetTokens() < 1 && want.GetTokens() > 0 && !part.GetNoPart() {
 			part.EmptyMs = int64(bucket.TimeToNextToken(now))
 		}
 	}
--- a/steering/wiring.go
+++ b/steering/wiring.go
@@ -115,7 +115,7 @@
 func newMembership(members *fleet.Members, state *ControlState, balancer *placement.Balancer) *membership {
 	return &membership{
 		bootClock: clock.BootTime{}, members: members, controlState: state, balancer: balancer,
-		onPartChange: func() {}, startedAt: clock.BootTime{}.Now(),
+		onPartChange: func() {}, onOwnersChange: func() {}, startedAt: clock.BootTime{}.Now(),
 	}
 }
 
