steering: repair the end of the stop

The goroutine and its channel give way to a WaitGroup. Tests of steering, gateway and TestRollingRestart, TestRequestsDuringShutdown and TestSlowRequestsDuringShutdown pass.

--- a/steering/run.go
+++ b/steering/run.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/bulrushferry/bulrushferry/clock"
@@ -150,9 +151,9 @@
 	}
 }
 
-// refreshPeriodically updates, also whenever other instances' entries change, this instance's readiness, the shares of the fleet-wide
+// refreshPeriodically updates this instance's readiness, the shares of the fleet-wide
 // limits, the outage detection and the token buckets, and prunes the connection pool,
-// until the context ends.
+// until the context ends. It does so at once when entries of other instances have changed.
 func (p process) refreshPeriodically(ctx context.Context) {
 	prunedAt := time.Now()
 	for ctx.Err() == nil {
@@ -210,22 +211,13 @@
 	_ = listener.Close()
 	ctx, cancel := context.WithDeadline(context.Background(), startedAt.Add(grace-shutdownReserve))
 	defer cancel()
-	partGivenUp := make(chan struct{})
-	go func() {
-		p.giveUpPart(ctx)
-		close(partGivenUp)
-	}()
+	var group sync.WaitGroup
+	group.Go(func() { p.giveUpPart(ctx) })
 	if err := p.Gateway.Shutdown(ctx); err != nil {
-	partGivenUp := make(chan struct{})
-	go func() {
-		p.giveUpPart(ctx)
-		close(partGivenUp)
-	}()
 		p.Log.Warn("connections were still open at the end of the grace period", "error", err.Error())
 	}
-	<-partGivenUp
+	group.Wait()
 	if err := p.Adapter.Store.Deregister(ctx, p.Members.Self()); err != nil {
-	<-partGivenUp
 		p.Log.Warn("deregistering this instance failed", "error", err.Error())
 	}
 }
