Tell all instances of a new fleet before parts are used

Cause: an instance asks eight of the listed ones when it joins; with more, it could not know that all had heard of it, and waited 3.3 s for its part; and the very first one, listed alone, used its part at once, which made the others wait even where all had answered. Told from a slow machine by the statuses: all refusals are for the rate, none for want of room or time.

Fix: while no instance uses a part and no earlier process is known, a starting instance tells all that are listed, again for up to 2 s; and parts of a new fleet are used 1 s after the entry was stored, so that those that start within that time are known to all before.

--- a/steering/join.go
+++ b/steering/join.go
@@ -3,11 +3,10 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/bulrushferry/bulrushferry/clock"
+	"github.com/bulrushferry/bulrushferry/values"
 )
 
 const (
@@ -20,6 +19,8 @@
 	joinFanout = 8
 	// joinResponseTimeout limits the wait for their responses.
 	joinResponseTimeout = 300 * time.Millisecond
+	// newFleetTimeout limits the time in which an instance of a new fleet tells all others.
+	newFleetTimeout = 2 * time.Second
 	// joinTimeout is how long an instance looks for peers before it starts to serve
 	// without them.
 	joinTimeout = 3 * time.Second
@@ -44,7 +45,7 @@
 			p.allowPart(how)
 			return
 		}
-		if p.askPeers(ctx, p.LiveSettings.get().Seeds) > 0 {
+		if len(p.askPeers(ctx, p.LiveSettings.get().Seeds)) > 0 {
 			p.markJoined("a seed")
 			p.allowPart(joining{registeredAt: clock.BootTime{}.Now()})
 		}
@@ -64,32 +65,63 @@
 	}
 }
 
-// askPeers sends gossip requests to peers in parallel and returns how many responded
-// within joinResponseTimeout. Peers that are starting up themselves may be slower and
-// are not waited for.
-func (p process) askPeers(ctx context.Context, addresses []string) int {
-	var group sync.WaitGroup
-	var responded atomic.Int64
+// askPeers sends gossip requests to peers in parallel and returns the addresses of those that
+// responded within joinResponseTimeout. Peers that are starting up themselves may be slower
+// and are not waited for.
+func (p process) askPeers(ctx context.Context, addresses []string) []string {
+	responded := make(chan string, len(addresses))
+	asked := 0
 	for _, address := range addresses {
 		if address == p.Adapter.Settings.PeerAddress {
 			continue
 		}
-		group.Go(func() {
-			if p.Gossip.Exchange(ctx, address) {
-				responded.Add(1)
+		asked++
+		go func() {
+			if !p.Gossip.Exchange(ctx, address) {
+				address = ""
 			}
-		})
+			responded <- address
+		}()
 	}
-	done := make(chan struct{})
-	go func() {
-		group.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-time.After(joinResponseTimeout):
+	timeout := time.After(joinResponseTimeout)
+	var out []string
+	for range asked {
+		select {
+		case address := <-responded:
+			if address != "" {
+				out = append(out, address)
+			}
+		case <-timeout:
+			return out
+		}
 	}
-	return int(responded.Load())
+	return out
+}
+
+// tellPeers sends gossip requests to up to joinFanout of the listed peers, which are in
+// random order. In a new fleet, where no instance uses a part of the limits on workspaces
+// yet, it tells all of them, for up to newFleetTimeout. It reports whether all have answered.
+func (p process) tellPeers(ctx context.Context, addresses []string, how *joining) bool {
+	startedAt := time.Now()
+	told := values.NewSet(p.askPeers(ctx, addresses[:min(len(addresses), joinFanout)])...)
+	for told.Len() < len(addresses) && p.isNewFleet(how) && time.Since(startedAt) < newFleetTimeout {
+		var missing []string
+		for _, address := range addresses {
+			if !told.Has(address) {
+				missing = append(missing, address)
+			}
+		}
+		for _, address := range p.askPeers(ctx, missing) {
+			told = told.With(address)
+		}
+	}
+	return told.Len() == len(addresses)
+}
+
+// isNewFleet reports whether neither an earlier process of this instance is known nor another
+// instance that uses its part of the limits on workspaces.
+func (p process) isNewFleet(how *joining) bool {
+	return !how.replaced && p.Members.OwnPredecessor() == nil && !p.Members.OthersHoldParts()
 }
 
 // allowPart lets the instance use its own part of the limits on workspaces.
@@ -112,9 +144,8 @@
 	return true, replaced
 }
 
-// discover reads the list of the registered instances, lets this one serve, and sends
-// gossip requests to up to joinFanout of them, chosen at random. It reports whether the
-// list could be read. Until peers have answered, this instance takes its share of the
+// discover reads the list of the registered instances, lets this one serve, and tells
+// the others of it. It reports whether the list could be read. Until peers have answered, this instance takes its share of the
 // limits as one of all that are registered. It records whether all listed instances have
 // answered.
 func (p process) discover(ctx context.Context, how *joining) bool {
@@ -137,6 +168,6 @@
 		}
 	}
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	how.allTold = p.askPeers(ctx, addresses[:min(len(addresses), joinFanout)]) == len(addresses)
+	how.allTold = p.tellPeers(ctx, addresses, how)
 	return true
 }
--- a/steering/membership.go
+++ b/steering/membership.go
@@ -64,6 +64,10 @@
 	limitFraction = 0.97
 	// burstFraction is the fraction of a workspace's burst that is granted.
 	burstFraction = 0.8
+	// newFleetWait is how long the first instances of a new fleet wait before they use their
+	// parts. Those that start within this time can tell all others before any part is
+	// used, and need not wait for longer.
+	newFleetWait = clock.Second
 	// relayTimeout is the age of a replica above which an instance no longer waits
 	// for its relay and reads the store itself.
 	relayTimeout = 1800 * clock.Millis(1)
@@ -130,7 +134,7 @@
 	case predecessor != nil || how.replaced:
 		from, reason = m.startedAt+quota.PartTerm, "its earlier process may have lent its part"
 	case how.allTold && !m.members.OthersHoldParts():
-		from, reason = now, "no other instance uses a part yet"
+		from, reason = how.registeredAt+newFleetWait, "no other instance uses a part yet"
 	}
 	if m.partFrom == 0 {
 		m.partFrom = max(from, now)
