End the loans of a process as soon as its successor is heard of

What callers saw: after all processes were killed at once, every request of a workspace with a rate was refused for about two seconds.

Cause: a new process waited 1.5 s from its start for loans that the one before may have made.

Fix: a message or gossip of a new process of an instance ends the loans of the process before, and bars what is still on its way from it. A new process tells all that are listed, and uses its part at once when all have answered. Where others have a part and none has heard of an earlier process, the instance waits like a new one: before, the platform's word alone made it wait too short.

--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -7,6 +7,8 @@
 package quota
 
 import (
+	"math"
+
 	"github.com/bulrushferry/bulrushferry/clock"
 )
 
@@ -98,6 +100,12 @@
 	return tokens
 }
 
+// Forget ends the loan of a lender's process that has ended. Messages of it that are still on
+// their way have no effect.
+func (b *Bucket) Forget(now clock.Millis, lender uint64) {
+	b.TakeBack(now, lender, math.MaxInt64)
+}
+
 // Take removes and returns up to the requested number of tokens. It returns
 // none if that would be less than one, since a request costs a whole token.
 func (b *Bucket) Take(now clock.Millis, want float64) float64 {
--- a/steering/handover_test.go
+++ b/steering/handover_test.go
@@ -52,6 +52,8 @@
 		// partFrom is when the process may use its part, by its clock, and gaveUpAt when it
 		// gave it up; zero if it has not.
 		partFrom, gaveUpAt clock.Millis
+		// starts counts its processes.
+		starts int
 	}
 )
 
@@ -95,12 +97,31 @@
 		i.partFrom = max(i.Now(), i.gaveUpAt+i.offset+quota.PartTerm)
 	}
 	i.gaveUpAt = 0
+	i.starts++
 	i.limiter = NewRateLimiter(RateLimiterConfig{
-		Clock: i, Log: hclog.NewNullLogger(), Metrics: metrics.NewRegistry(), BucketOwner: i.owner, Self: i.name, SelfAddress: i.name,
+		Clock: i, Log: hclog.NewNullLogger(), Metrics: metrics.NewRegistry(), BucketOwner: i.owner, Self: i.name, SelfAddress: i.name, Process: ProcessID(i.incarnation()),
 		Limit: func(string) (quota.Limit, bool) { return i.fleet.limit, true }, Part: i.ownPart,
 	})
 }
 
+func (i *modelInstance) incarnation() string { return fmt.Sprint(i.name, "-", i.starts) }
+
+// tellAll tells all other instances of a new process, and reports whether all know.
+func (i *modelInstance) tellAll() bool {
+	all := true
+	for _, other := range i.fleet.instances {
+		if other == i {
+			continue
+		}
+		if !other.up || i.fleet.now < other.pausedUntil {
+			all = false
+			continue
+		}
+		other.limiter.RecordProcess(&wire.FleetInstance{Instance: i.name, Incarnation: i.incarnation()})
+	}
+	return all
+}
+
 func (i *modelInstance) ownPart() float64 {
 	if i.Now() < i.partFrom || i.gaveUpAt > 0 {
 		return 0
@@ -306,6 +327,9 @@
 // restart starts a new process, which others learn of once it may use its part.
 func (f *modelFleet) restart(i *modelInstance) {
 	i.start()
+	if i.tellAll() {
+		i.partFrom = i.Now()
+	}
 	limiter := i.limiter
 	f.at(i.partFrom-i.offset, func() {
 		if i.limiter == limiter && i.up && i.stoppingAt == 0 {
--- a/steering/join.go
+++ b/steering/join.go
@@ -19,8 +19,8 @@
 	joinFanout = 8
 	// joinResponseTimeout limits the wait for their responses.
 	joinResponseTimeout = 300 * time.Millisecond
-	// newFleetTimeout limits the time in which an instance of a new fleet tells all others.
-	newFleetTimeout = 2 * time.Second
+	// maxTold is the size of the largest fleets in which a starting instance tells all others.
+	maxTold = 100
 	// joinTimeout is how long an instance looks for peers before it starts to serve
 	// without them.
 	joinTimeout = 3 * time.Second
@@ -99,12 +99,12 @@
 }
 
 // tellPeers sends gossip requests to up to joinFanout of the listed peers, which are in
-// random order. In a new fleet, where no instance uses a part of the limits on workspaces
-// yet, it tells all of them, for up to newFleetTimeout. It reports whether all have answered.
+// random order. In fleets of up to maxTold instances it tells all of them, as long as that
+// can let this instance use its part of the limits on workspaces sooner. It reports whether
+// all have answered.
 func (p process) tellPeers(ctx context.Context, addresses []string, how *joining) bool {
-	startedAt := time.Now()
 	told := values.NewSet(p.askPeers(ctx, addresses[:min(len(addresses), joinFanout)])...)
-	for told.Len() < len(addresses) && p.isNewFleet(how) && time.Since(startedAt) < newFleetTimeout {
+	for told.Len() < len(addresses) && len(addresses) <= maxTold && p.Membership.tellingHelps(*how) && ctx.Err() == nil {
 		var missing []string
 		for _, address := range addresses {
 			if !told.Has(address) {
@@ -118,12 +118,6 @@
 	return told.Len() == len(addresses)
 }
 
-// isNewFleet reports whether neither an earlier process of this instance is known nor another
-// instance that uses its part of the limits on workspaces.
-func (p process) isNewFleet(how *joining) bool {
-	return !how.replaced && p.Members.OwnPredecessor() == nil && !p.Members.OthersHoldParts()
-}
-
 // allowPart lets the instance use its own part of the limits on workspaces.
 func (p process) allowPart(how joining) {
 	wait, reason := p.Membership.allowPart(how)
--- a/steering/membership.go
+++ b/steering/membership.go
@@ -68,6 +68,8 @@
 	// parts. Those that start within this time can tell all others before any part is
 	// used, and need not wait for longer.
 	newFleetWait = clock.Second
+	// newFleetTimeout limits the time in which an instance of a new fleet tells all others.
+	newFleetTimeout = 2 * clock.Second
 	// relayTimeout is the age of a replica above which an instance no longer waits
 	// for its relay and reads the store itself.
 	relayTimeout = 1800 * clock.Millis(1)
@@ -128,10 +130,13 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	from, reason := how.registeredAt+m.members.SpreadTime()+quota.PartTerm, "a new instance"
+	counted := predecessor != nil || (how.replaced && !m.members.OthersHoldParts())
 	switch {
 	case predecessor.GetPartFree():
 		from, reason = now, "its earlier process has taken its part back"
-	case predecessor != nil || how.replaced:
+	case counted && how.allTold:
+		from, reason = now, "all others know that its earlier process has ended"
+	case counted:
 		from, reason = m.startedAt+quota.PartTerm, "its earlier process may have lent its part"
 	case how.allTold && !m.members.OthersHoldParts():
 		from, reason = how.registeredAt+newFleetWait, "no other instance uses a part yet"
@@ -142,6 +147,17 @@
 	return max(m.partFrom-now, 0), reason
 }
 
+// tellingHelps reports whether the instance may use its part sooner once all others know of
+// it: in a new fleet, or while what its earlier process has lent may still be used.
+func (m *membership) tellingHelps(how joining) bool {
+	now := m.bootClock.Now()
+	predecessor := m.members.OwnPredecessor()
+	if predecessor != nil || how.replaced {
+		return !predecessor.GetPartFree() && now < m.startedAt+quota.PartTerm
+	}
+	return !m.members.OthersHoldParts() && now < how.registeredAt+newFleetTimeout
+}
+
 // giveUpPart ends the use of the instance's part of the limits, before the process ends.
 func (m *membership) giveUpPart() {
 	m.mu.Lock()
--- a/steering/membership_test.go
+++ b/steering/membership_test.go
@@ -33,6 +33,8 @@
 		"a new fleet that not all know yet":                 {from: 200 + 1800 + quota.PartTerm},
 		"its earlier process was killed, says the platform": {replaced: true, from: quota.PartTerm},
 		"its earlier process was killed, says a peer":       {predecessor: &wire.FleetInstance{HoldsPart: true, HeardAgeMs: 9000}, from: quota.PartTerm},
+		"its earlier process was killed, as all know":       {predecessor: &wire.FleetInstance{HoldsPart: true}, allTold: true, othersHold: true, from: 300},
+		"its earlier process was killed, as no peer says":   {replaced: true, othersHold: true, from: 200 + 1800 + quota.PartTerm},
 		"its earlier process stopped and may have lent it":  {predecessor: &wire.FleetInstance{HeardAgeMs: 1000}, from: quota.PartTerm},
 		"its earlier process has taken it back":             {predecessor: &wire.FleetInstance{PartFree: true}, from: 300},
 		"after a pause": {replaced: true, then: func(m *membership, manual *clock.Manual) {
--- a/steering/rate_limiter.go
+++ b/steering/rate_limiter.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -11,6 +10,7 @@
 	"github.com/bulrushferry/bulrushferry/peer"
 	"github.com/bulrushferry/bulrushferry/quota"
 	"github.com/bulrushferry/bulrushferry/wire"
+	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/go-hclog"
 	"github.com/rcrowley/go-metrics"
 )
@@ -29,6 +29,8 @@
 		// Self is the name of this instance, SelfAddress its peer address.
 		Self        string
 		SelfAddress string
+		// Process is the ProcessID of this process.
+		Process uint64
 		// Limit returns a workspace's limit over the fleet, and whether it has one.
 		Limit func(workspace string) (quota.Limit, bool)
 		// Part returns the fraction of all limits that is this instance's own. It is
@@ -43,12 +45,12 @@
 	// peers, and no other RateLimiter's lock is taken while it is held.
 	RateLimiter struct {
 		config RateLimiterConfig
-		// process identifies this process in loans.
-		process uint64
 
 		mu sync.Mutex
 		// workspaces is keyed by name.
 		workspaces map[string]*workspaceTokens
+		// lenders holds, by instance, the process that has sent messages last.
+		lenders map[string]uint64
 	}
 
 	// workspaceTokens are the tokens of one workspace that this instance has fetched,
@@ -84,9 +86,14 @@
 	maxTokenWaiters = 64
 )
 
+// ProcessID returns the number that identifies a process in loans.
+func ProcessID(incarnation string) uint64 {
+	return xxhash.Sum64String(incarnation)
+}
+
 // NewRateLimiter returns a rate limiter without tokens and buckets.
 func NewRateLimiter(config RateLimiterConfig) *RateLimiter {
-	return &RateLimiter{config: config, process: rand.Uint64(), workspaces: make(map[string]*workspaceTokens)}
+	return &RateLimiter{config: config, workspaces: make(map[string]*workspaceTokens), lenders: make(map[string]uint64)}
 }
 
 // Admit implements Admitter. It waits up to maxTokenWait for a token from the bucket's
@@ -189,7 +196,7 @@
 	tokens.bucket.SetLimit(now, limit)
 	if tokens.part.IsHere(now) {
 		loan := quota.Loan{Fraction: r.config.Part(), Until: now + quota.PartTerm, Sequence: tokens.part.NextSequence()}
-		tokens.bucket.Lend(now, r.process, loan)
+		tokens.bucket.Lend(now, r.config.Process, loan)
 	}
 	return tokens
 }
--- a/steering/run.go
+++ b/steering/run.go
@@ -143,6 +143,7 @@
 func (p process) handlePeer(ctx context.Context, request *wire.PeerRequest) *wire.PeerResponse {
 	switch body := request.GetBody().(type) {
 	case *wire.PeerRequest_Gossip:
+		p.RateLimiter.RecordProcess(body.Gossip.GetSender())
 		return &wire.PeerResponse{Body: &wire.PeerResponse_Gossip{Gossip: p.Gossip.Handle(ctx, body.Gossip)}}
 	case *wire.PeerRequest_TokenAsk:
 		return &wire.PeerResponse{Body: &wire.PeerResponse_TokenGrant{TokenGrant: p.RateLimiter.HandleTokenAsk(body.TokenAsk)}}
--- a/steering/steering_test.go
+++ b/steering/steering_test.go
@@ -220,11 +220,11 @@
 	owner := func(string) *wire.FleetInstance { return &wire.FleetInstance{Instance: "owner", PeerAddress: "owner"} }
 	network = &bucketOwnerNetwork{}
 	config := RateLimiterConfig{
-		Clock: c, Log: hclog.NewNullLogger(), Metrics: metrics.NewRegistry(), Network: network, BucketOwner: owner, Self: "owner",
+		Clock: c, Log: hclog.NewNullLogger(), Metrics: metrics.NewRegistry(), Network: network, BucketOwner: owner, Self: "owner", Process: 1,
 		Limit: limit, Part: func() float64 { return 0.5 },
 	}
 	network.owner = NewRateLimiter(config)
-	config.Self = "other"
+	config.Self, config.Process = "other", 2
 	return NewRateLimiter(config), network
 }
 
--- a/steering/token_exchange.go
+++ b/steering/token_exchange.go
@@ -121,7 +121,7 @@
 	now := r.config.Clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	ask := &wire.TokenAsk{Sender: r.process}
+	ask := &wire.TokenAsk{Sender: r.config.Process, Instance: r.config.Self}
 	for _, workspace := range workspaces {
 		tokens := r.tokensOf(now, workspace)
 		if tokens.exchanging[address] {
@@ -182,7 +182,7 @@
 		return
 	}
 	tokens.renewedAt = now
-	want.GiveBack += tokens.bucket.TakeBack(now, r.process, tokens.part.NextSequence())
+	want.GiveBack += tokens.bucket.TakeBack(now, r.config.Process, tokens.part.NextSequence())
 	want.Part = fraction
 	want.Offer = &wire.PartOffer{Borrower: offer.Borrower, AtMs: int64(offer.At)}
 }
@@ -295,6 +295,7 @@
 	now := r.config.Clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.recordLender(now, ask.GetInstance(), ask.GetSender())
 	grant := &wire.TokenGrant{}
 	for _, want := range ask.GetWants() {
 		if _, limited := r.config.Limit(want.GetWorkspace()); !limited {
@@ -314,7 +315,7 @@
 		}
 		r.borrow(now, bucket, ask.GetSender(), want)
 		bucket.Return(now, want.GetGiveBack())
-		part.Offer = &wire.PartOffer{Borrower: r.process, AtMs: int64(now)}
+		part.Offer = &wire.PartOffer{Borrower: r.config.Process, AtMs: int64(now)}
 		part.Tokens = bucket.Take(now, want.GetTokens())
 		_, fraction := bucket.State(now)
 		part.NoPart = fraction == 0
@@ -325,11 +326,35 @@
 	return grant
 }
 
+// recordLender records the process of an instance that sends a message. An earlier process of
+// the instance has ended, and with it its loans. The caller must hold the lock.
+func (r *RateLimiter) recordLender(now clock.Millis, instance string, process uint64) {
+	if last, ok := r.lenders[instance]; ok && last != process {
+		r.forget(now, last)
+	}
+	r.lenders[instance] = process
+}
+
+// RecordProcess records the process of an instance that has been heard from.
+func (r *RateLimiter) RecordProcess(info *wire.FleetInstance) {
+	now := r.config.Clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.recordLender(now, info.GetInstance(), ProcessID(info.GetIncarnation()))
+}
+
+// forget ends the loans of a process. The caller must hold the lock.
+func (r *RateLimiter) forget(now clock.Millis, process uint64) {
+	for _, tokens := range r.workspaces {
+		tokens.bucket.Forget(now, process)
+	}
+}
+
 // borrow adds the part that a peer lends to a bucket, until a quota.PartTerm after the
 // offer that it accepts. The caller must hold the lock.
 func (r *RateLimiter) borrow(now clock.Millis, bucket *quota.Bucket, lender uint64, want *wire.TokenWant) {
 	offer := want.GetOffer()
-	if want.GetPart() <= 0 || offer.GetBorrower() != r.process || clock.Millis(offer.GetAtMs()) > now {
+	if want.GetPart() <= 0 || offer.GetBorrower() != r.config.Process || clock.Millis(offer.GetAtMs()) > now {
 		return
 	}
 	loan := quota.Loan{Fraction: min(want.GetPart(), 1), Until: clock.Millis(offer.GetAtMs()) + quota.PartTerm, Sequence: want.GetSequence()}
--- a/steering/wiring.go
+++ b/steering/wiring.go
@@ -150,6 +150,7 @@
 		BucketOwner: m.bucketOwner,
 		Self:        s.Instance,
 		SelfAddress: s.PeerAddress,
+		Process:     ProcessID(m.members.Self().GetIncarnation()),
 		Limit:       m.workspaceLimit,
 		Part:        m.ownPart,
 	})
