--- a/steering/join.go
+++ b/steering/join.go
@@ -139,9 +139,9 @@
 }
 
 // discover reads the list of the registered instances, lets this one serve, and tells
-// the others of it. It reports whether the list could be read. Until peers have answered, this instance takes its share of the
-// limits as one of all that are registered. It records whether all listed instances have
-// answered.
+// the others of it. It reports whether the list could be read. Until peers have answered,
+// this instance takes its share of the limits as one of all that are registered. It records
+// whether all listed instances have answered.
 func (p process) discover(ctx context.Context, how *joining) bool {
 	listCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
