Read the pace that servers report and use it in the estimate

Cause: machines that are shared are slow by a factor of 2.5 for 15 % of the time. Servers report that as a fourth figure of their load, which was dropped; the slowness was learned as the server's own and outlasted the spell.

The pace is read apart from the other figures, fades with the correlation of such spells, and divides the latencies that are learned, so that it is not counted twice.

Tests of origin, placement and emulator pass with -race.

--- a/bench/emulate.go
+++ b/bench/emulate.go
@@ -36,8 +36,8 @@
 	}
 	started := time.Now()
 	policies := o.policies()
-	fmt.Println("| policy | load | seed | earned | worst domain | worst kind | unserved | p50 ms | p99 ms |")
-	fmt.Println("|---|---|---|---|---|---|---|---|---|")
+	fmt.Println("| policy | load | seed | earned | worst domain | worst kind | unserved | p50 ms | p99 ms | busiest to mean |")
+	fmt.Println("|---|---|---|---|---|---|---|---|---|---|")
 	var runs []emulatedRun
 	for _, name := range policies {
 		for _, load := range o.EmulateLoads {
@@ -88,6 +88,6 @@
 // String formats a run as a row of a table.
 func (e emulatedRun) String() string {
 	r := e.Result
-	return fmt.Sprintf("| %s | %.2f | %d | %.3f | %.3f | %.3f | %.3f | %.0f | %.0f |",
-		e.Policy, e.Load, e.Seed, r.CreditShare, r.MinDomainShare, r.MinKindShare, float64(r.Unserved)/float64(max(r.Requests, 1)), r.P50Ms, r.P99Ms)
+	return fmt.Sprintf("| %s | %.2f | %d | %.3f | %.3f | %.3f | %.3f | %.0f | %.0f | %.2f |",
+		e.Policy, e.Load, e.Seed, r.CreditShare, r.MinDomainShare, r.MinKindShare, float64(r.Unserved)/float64(max(r.Requests, 1)), r.P50Ms, r.P99Ms, r.BusiestToMean)
 }
--- a/emulator/config.go
+++ b/emulator/config.go
@@ -34,6 +34,26 @@
 		LoadAmplitude float64      `json:"swing"`
 		LoadPeriod    clock.Millis `json:"wave_period_ms"`
 		Seed          uint64       `json:"seed"`
+		Tail          Tail         `json:"tail"`
+		Spells        Spells       `json:"spells"`
+	}
+
+	// Tail makes some requests take longer by nature, on any server.
+	Tail struct {
+		// Share is the share of these requests and Factor how much longer they take.
+		Share  float64 `json:"share"`
+		Factor float64 `json:"factor"`
+	}
+
+	// Spells makes each server slow from time to time, as a shared machine is.
+	Spells struct {
+		// Share is the share of the time in which a server is slow, by Factor, and
+		// Length the mean length of a spell.
+		Share  float64      `json:"share"`
+		Factor float64      `json:"factor"`
+		Length clock.Millis `json:"length_ms"`
+		// Reported is set where the servers report their pace.
+		Reported bool `json:"reported"`
 	}
 
 	// FailureDomain is a failure domain and the region it belongs to.
--- a/emulator/result.go
+++ b/emulator/result.go
@@ -31,6 +31,9 @@
 		// LimitViolations counts the responses at which a server ran more
 		// requests than it has slots, or queued more than its queue capacity.
 		LimitViolations int `json:"overfull"`
+		// BusiestToMean is the most jobs of a server in relation to the mean of its
+		// service, at the service where that is largest.
+		BusiestToMean float64 `json:"busiest_to_mean"`
 
 		creditByDomain map[string]*creditTotals
 		creditByKind   map[string]*creditTotals
--- a/emulator/server.go
+++ b/emulator/server.go
@@ -17,22 +17,29 @@
 		service Service
 		// slowdown is the factor by which service times are longer here.
 		slowdown float64
+		spells   *spells
+		tail     Tail
 		running  int
-		queue    []job
+		// started counts the jobs that ran.
+		started int
+		queue   []job
 		// warm holds the warm objects, least recently used first.
 		warm []uint64
 	}
 
 	// job is a request at a server. done is called when the job ends, with
-	// whether it ran and the server's load at that time.
+	// whether it ran, and the server's load and reported pace at that time.
 	job struct {
 		kind     *RequestKind
 		object   uint64
 		deadline clock.Millis
-		done     func(ran bool, load int)
+		done     func(ran bool, load, pace int)
 	}
 )
 
+// percent is the unit of a reported pace.
+const percent = 100
+
 const (
 	// maxSlowdown and minSlowdown bound the slowdown of servers.
 	maxSlowdown = 1.15
@@ -49,10 +56,18 @@
 	case len(s.queue) < s.service.QueueCapacity:
 		s.queue = append(s.queue, j)
 	default:
-		j.done(false, s.load())
+		j.done(false, s.load(), s.reportedPace(e.now))
 	}
 }
 
+// reportedPace returns the pace that the server reports, in percent; zero means none.
+func (s *server) reportedPace(now clock.Millis) int {
+	if !s.spells.config.Reported {
+		return 0
+	}
+	return int(s.spells.pace(now) * percent)
+}
+
 // load returns the number of running and queued jobs.
 func (s *server) load() int {
 	return s.running + len(s.queue)
@@ -60,14 +75,18 @@
 
 func (s *server) start(e *eventQueue, random *rand.Rand, j job) {
 	s.running++
+	s.started++
 	serviceTime := j.kind.ColdServiceTime
 	if s.touch(j.object) {
 		serviceTime = j.kind.WarmServiceTime
 	}
-	duration := float64(serviceTime) * s.slowdown * (1 - jitter + 2*jitter*random.Float64())
-	e.schedule(clock.Millis(duration), func() {
+	work := float64(serviceTime) * s.slowdown * (1 - jitter + 2*jitter*random.Float64())
+	if s.tail.Share > 0 && random.Float64() < s.tail.Share {
+		work *= s.tail.Factor
+	}
+	e.schedule(clock.Millis(s.spells.duration(e.now, work)), func() {
 		s.running--
-		j.done(true, s.load())
+		j.done(true, s.load(), s.reportedPace(e.now))
 		s.startQueued(e, random)
 	})
 }
@@ -79,7 +98,7 @@
 		j := s.queue[0]
 		s.queue = s.queue[1:]
 		if e.now >= j.deadline {
-			j.done(false, s.load())
+			j.done(false, s.load(), s.reportedPace(e.now))
 			continue
 		}
 		s.start(e, random, j)
--- a/emulator/simulation.go
+++ b/emulator/simulation.go
@@ -76,6 +76,7 @@
 	}
 	sim.events.run()
 	sim.result.summarize()
+	sim.result.BusiestToMean = sim.busiestToMean()
 	return sim.result
 }
 
@@ -90,12 +91,31 @@
 				FailureDomain: d.Name, Region: d.Region, Slots: service.Slots,
 			}
 			listed = append(listed, info)
-			sim.servers[info.ID] = &server{info: info, service: service, slowdown: minSlowdown + (maxSlowdown-minSlowdown)*sim.random.Float64()}
+			sim.servers[info.ID] = &server{
+				info: info, service: service, slowdown: minSlowdown + (maxSlowdown-minSlowdown)*sim.random.Float64(),
+				spells: newSpells(sim.config.Spells, sim.config.Seed, uint64(len(listed))), tail: sim.config.Tail,
+			}
 		}
 	}
 	return listed
 }
 
+// busiestToMean returns the largest ratio, of all services, of the jobs of the busiest
+// server to the mean.
+func (sim *simulation) busiestToMean() float64 {
+	total, most, count := make(map[string]int), make(map[string]int), make(map[string]int)
+	for _, s := range sim.servers {
+		total[s.service.Name] += s.started
+		most[s.service.Name] = max(most[s.service.Name], s.started)
+		count[s.service.Name]++
+	}
+	worst := 0.0
+	for name := range total {
+		worst = max(worst, float64(most[name]*count[name])/float64(max(total[name], 1)))
+	}
+	return worst
+}
+
 // delay returns the one-way network delay between an entry instance and a server
 // in the given regions.
 func (c Config) delay(from, to string) clock.Millis {
@@ -161,9 +181,9 @@
 	s := sim.servers[id]
 	oneWay := sim.config.delay(r.domain.Region, s.info.Region)
 	sim.events.schedule(oneWay+sim.linkDelay(r.domain.Region, s.info.Region, r.kind.Bytes), func() {
-		s.accept(&sim.events, sim.random, job{kind: r.kind, object: r.object, deadline: now + timeLeft, done: func(ran bool, load int) {
+		s.accept(&sim.events, sim.random, job{kind: r.kind, object: r.object, deadline: now + timeLeft, done: func(ran bool, load, pace int) {
 			sim.result.checkLimits(s)
-			sim.events.schedule(oneWay, func() { sim.handleResponse(r, id, q, ran, load) })
+			sim.events.schedule(oneWay, func() { sim.handleResponse(r, id, q, ran, load, pace) })
 		}})
 	})
 }
@@ -180,12 +200,14 @@
 
 // handleResponse handles a server's response at the entry instance. A declined
 // request goes to another server, or back to the caller.
-func (sim *simulation) handleResponse(r *request, id string, q placement.Query, ran bool, load int) {
+func (sim *simulation) handleResponse(r *request, id string, q placement.Query, ran bool, load, pace int) {
 	outcome := placement.Answered
 	if !ran {
 		outcome = placement.Declined
 	}
-	sim.balancers[r.instance].Done(sim.events.now, id, q, placement.Result{Outcome: outcome, Load: load, HasLoad: true})
+	sim.balancers[r.instance].Done(sim.events.now, id, q, placement.Result{
+		Outcome: outcome, Load: load, HasLoad: true, Pace: float64(pace) / percent, HasPace: pace > 0,
+	})
 	switch {
 	case ran:
 		sim.events.schedule(sim.config.CallerDelay, func() { sim.result.recordResponse(r, sim.events.now) })
--- a/origin/headers.go
+++ b/origin/headers.go
@@ -20,7 +20,7 @@
 	// Signature marks a response that was made by a server.
 	Signature string
 	// Load holds the numbers of a server's running requests, waiting requests and
-	// slots, separated by commas.
+	// slots and, optionally, its pace, separated by commas.
 	Load string
 	// Cold holds the time for which a server remains cold, in milliseconds.
 	Cold string
--- a/origin/pool.go
+++ b/origin/pool.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"strconv"
-	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/bulrushferry/bulrushferry/clock"
@@ -39,6 +39,9 @@
 		mu sync.Mutex
 		// servers is keyed by the server's ID.
 		servers map[string]*serverConns
+		// invalidLoadShownAt is when an invalid load report was last passed on for the
+		// log, in milliseconds of the clock; zero means never.
+		invalidLoadShownAt atomic.Int64
 	}
 
 	// serverConns holds the connections to one server.
@@ -56,9 +59,8 @@
 		Declined bool
 		// Misdirected is set if another server now has the address.
 		Misdirected bool
-		// Load is the number of running and waiting requests, if HasLoad is set.
-		Load    int
-		HasLoad bool
+		// Load is what the server reports of its load.
+		Load LoadReport
 		// ColdFor is how long the server remains cold.
 		ColdFor clock.Millis
 		// Leaving is set if the server is about to stop. It is also set where the rest
@@ -80,8 +82,6 @@
 	dialTimeout = 350 * time.Millisecond
 	// maxColdFor limits what a server may say of how long it stays cold.
 	maxColdFor = 10 * 60 * clock.Second
-	// maxLoad limits the numbers of requests that a server may report.
-	maxLoad = 1 << 16
 )
 
 // NewPool returns a pool without connections.
@@ -141,7 +141,7 @@
 	info.Status = response.StatusCode()
 	info.Declined = isDeclined(names, response)
 	info.Misdirected = response.StatusCode() == fasthttp.StatusMisdirectedRequest
-	info.Load, info.HasLoad = parseLoad(string(response.Header.Peek(names.Load)))
+	info.Load = p.parseLoad(response.Header.Peek(names.Load))
 	if cold, err := strconv.Atoi(string(response.Header.Peek(names.Cold))); err == nil {
 		info.ColdFor = min(max(clock.Millis(cold), 0), maxColdFor)
 	}
@@ -151,24 +151,6 @@
 	return info
 }
 
-// parseLoad returns the sum of the running and waiting requests in a value of the
-// form "running,waiting,slots".
-func parseLoad(value string) (int, bool) {
-	parts := strings.Split(value, ",")
-	if len(parts) < 2 {
-		return 0, false
-	}
-	running, err := strconv.Atoi(strings.TrimSpace(parts[0]))
-	if err != nil {
-		return 0, false
-	}
-	waiting, err := strconv.Atoi(strings.TrimSpace(parts[1]))
-	if err != nil {
-		return 0, false
-	}
-	return min(max(running, 0), maxLoad) + min(max(waiting, 0), maxLoad), true
-}
-
 // connect returns an idle connection or opens a new one.
 func (p *Pool) connect(server placement.Server, idempotent bool, left clock.Millis) (*conn, error) {
 	if c := p.takeIdle(server, idempotent); c != nil {
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -51,7 +51,9 @@
 		// the same object to the server.
 		servedRecently bool
 		baseLatency    clock.Millis
-		sentAt         clock.Millis
+		// pace is that expected of the server when the request was sent.
+		pace   float64
+		sentAt clock.Millis
 		// loadBefore is the known load of the server without this request.
 		loadBefore int
 		// fanout is that of the request's object.
@@ -64,10 +66,11 @@
 		score uint64
 		warm  bool
 		// baseLatency is the latency at the server according to the learned
-		// averages; latency also includes the server's own latency factor, the
-		// round trip and penalties. queueTime is the part spent waiting for a
+		// averages; latency also includes the server's own latency factor and pace,
+		// the round trip and penalties. queueTime is the part spent waiting for a
 		// slot.
 		baseLatency clock.Millis
+		pace        float64
 		latency     clock.Millis
 		queueTime   clock.Millis
 		// fewSamples is set while there are too few measurements to rely on the
@@ -139,6 +142,7 @@
 		warm:            best.warm,
 		sentAt:          now,
 		baseLatency:     best.baseLatency,
+		pace:            best.pace,
 		loadBefore:      s.knownLoad(now),
 		uncontended:     s.load(now) < s.info.Slots && !cold,
 		fanout:          b.fanoutOf(now, q.Service, candidates[0].state.info.Region),
@@ -262,9 +266,10 @@
 	waiting := max(0, s.load(now)+1-s.info.Slots)
 	wait := clock.Millis(waiting) * model.overall.value() / clock.Millis(max(s.info.Slots, 1))
 	factor := s.currentLatencyFactor(now)
+	c.pace = s.currentPace(now)
 	c.baseLatency = work + wait
-	c.queueTime = clock.Millis(float64(wait) * factor)
-	c.latency = clock.Millis(float64(c.baseLatency)*factor) + b.roundTrips[s.info.Region]
+	c.queueTime = clock.Millis(float64(wait) * factor * c.pace)
+	c.latency = clock.Millis(float64(c.baseLatency)*factor*c.pace) + b.roundTrips[s.info.Region]
 	if s.isFull(now) {
 		c.latency += declinePenalty
 		c.queueTime += declinePenalty
--- a/placement/domain_load.go
+++ b/placement/domain_load.go
@@ -16,6 +16,10 @@
 	updatedAt clock.Millis
 	factor    float64
 	factorAt  clock.Millis
+	// pace is the mean of the paces that these servers report, as of paceAt, which is
+	// zero if there is none.
+	pace   float64
+	paceAt clock.Millis
 }
 
 const (
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -13,6 +13,10 @@
 		// server; it is valid only if HasLoad is set.
 		Load    int
 		HasLoad bool
+		// Pace is the service time that the server reports for now in relation to the
+		// usual one; it is valid only if HasPace is set.
+		Pace    float64
+		HasPace bool
 	}
 
 	// latencyModel holds the learned latencies of one route, for requests whose
@@ -103,10 +107,13 @@
 		s.recordLoad(now, result.Load)
 		b.recordFreeSlot(now, s, result.Load)
 	}
+	if result.HasPace {
+		s.recordPace(now, result.Pace)
+	}
 	switch result.Outcome {
 	case Answered:
 		s.recordSuccess(now)
-		b.learn(c, now-c.sentAt)
+		b.learn(c, now-c.sentAt, c.paceDuring(result))
 	case Failed:
 		s.consecutiveFailures = 0
 		s.updateFailureRate(now, 1, failureWeight)
@@ -122,7 +129,7 @@
 	case Unreachable:
 		s.recordFailure(now)
 	case TimedOut:
-		s.updateLatencyFactor(now, c, max(c.baseLatency, now-c.sentAt))
+		s.updateLatencyFactor(now, c, max(c.baseLatency, now-c.sentAt), c.pace)
 		s.domainLoad.record(now, b.loadAhead(c, now-c.sentAt))
 	case Canceled, Withheld:
 	}
@@ -130,11 +137,12 @@
 
 // learn updates the estimates with the latency of an answered request. Only
 // requests that did not have to wait for a slot at a warm server update the
-// latency model.
-func (b *Balancer) learn(c *Choice, took clock.Millis) {
+// latency model, which holds latencies at a pace of one.
+func (b *Balancer) learn(c *Choice, took clock.Millis, pace float64) {
 	now := c.sentAt + took
 	took = max(1, took-b.roundTrips[c.Server.Region])
-	c.state.updateLatencyFactor(now, c, took)
+	c.state.updateLatencyFactor(now, c, took, pace)
+	took = max(1, clock.Millis(float64(took)/pace))
 	if !c.uncontended || c.state.latencyFactor > maxLearningFactor {
 		return
 	}
@@ -157,12 +165,13 @@
 }
 
 // updateLatencyFactor moves a server's latency factor towards the ratio of
-// actual to expected latency of a request.
-func (s *serverState) updateLatencyFactor(now clock.Millis, c *Choice, took clock.Millis) {
-	ratio := float64(took) / float64(max(c.baseLatency, 1))
+// actual to expected latency of a request at the given pace. The bounds are those of the
+// factor and the pace together, so that answers correct a server that reports a wrong pace.
+func (s *serverState) updateLatencyFactor(now clock.Millis, c *Choice, took clock.Millis, pace float64) {
+	ratio := float64(took) / float64(max(c.baseLatency, 1)) / pace
 	factor := ewma(s.currentLatencyFactor(now), ratio, latencyFactorWeight)
 	s.domainLoad.recordRatio(now, ratio)
-	s.latencyFactor = min(max(factor, minLatencyFactor), maxLatencyFactor)
+	s.latencyFactor = min(max(factor, minLatencyFactor/max(pace, 1)), maxLatencyFactor/min(pace, 1))
 	s.latencyFactorAt = now
 }
 
--- a/placement/refusal.go
+++ b/placement/refusal.go
@@ -23,12 +23,15 @@
 		Fanout     int
 		// Latency is the expected latency and Limit the longest that is accepted.
 		// BaseLatency is the part by the learned averages, before the server's own
-		// LatencyFactor, and QueueTime the part before a slot is free.
+		// LatencyFactor and Pace, and QueueTime the part before a slot is free. PaceAge is
+		// negative where the server has not reported a pace.
 		Latency       clock.Millis
 		Limit         clock.Millis
 		BaseLatency   clock.Millis
 		QueueTime     clock.Millis
 		LatencyFactor float64
+		Pace          float64
+		PaceAge       clock.Millis
 		// InFlight are this instance's requests there, and Load all requests there as
 		// far as this instance knows, from a report of the given age.
 		InFlight  int
@@ -150,6 +153,8 @@
 		BaseLatency:   c.baseLatency,
 		QueueTime:     c.queueTime,
 		LatencyFactor: s.currentLatencyFactor(now),
+		Pace:          c.pace,
+		PaceAge:       s.pace.age(now),
 		InFlight:      s.inFlight,
 		Load:          s.load(now),
 		Slots:         s.info.Slots,
--- a/placement/server.go
+++ b/placement/server.go
@@ -69,6 +69,8 @@
 		// latencyFactorAt.
 		latencyFactor   float64
 		latencyFactorAt clock.Millis
+		// pace is what the server reports of its machine.
+		pace pace
 		// listedAt is when the server was first listed.
 		listedAt clock.Millis
 
--- a/steering/attempt.go
+++ b/steering/attempt.go
@@ -177,7 +177,9 @@
 	if response != nil {
 		h.peaks.observe(now, req.service, now-sentAt)
 	}
-	h.config.Balancer.Done(now, choice, placement.Result{Outcome: outcome, Load: info.Load, HasLoad: info.HasLoad})
+	h.config.Balancer.Done(now, choice, placement.Result{
+		Outcome: outcome, Load: info.Load.Requests, HasLoad: info.Load.HasRequests, Pace: info.Load.Pace, HasPace: info.Load.HasPace,
+	})
 	h.recordNotice(req, choice.Server, info, now)
 	h.trackCrash(req, choice.Server.ID, outcome, now)
 	h.recordOutcome(req, choice, outcome, info.Status, err)
@@ -208,6 +210,10 @@
 		h.config.Log.Warn("backend server asks for a pause of an invalid length", "server", server.ID, "request", req.id,
 			"given", info.Pause.Given, "pause_ms", int64(info.Pause.For))
 	}
+	if info.Load.Invalid != "" {
+		h.config.Log.Warn("backend server reports an invalid load", "server", server.ID, "request", req.id, "given", info.Load.Invalid,
+			"load", info.Load.Requests, "load_read", info.Load.HasRequests, "pace", info.Load.Pace, "pace_read", info.Load.HasPace)
+	}
 }
 
 // trackCrash tells the crash tracker whether a backend server responded, gave no response
@@ -285,7 +291,8 @@
 	return []any{
 		"server", best.Server, "candidates", best.Candidates, "fanout", best.Fanout, "expected_ms", int64(best.Latency),
 		"limit_ms", int64(best.Limit), "base_ms", int64(best.BaseLatency), "queue_ms", int64(best.QueueTime),
-		"factor", math.Round(best.LatencyFactor*100) / 100, "in_flight", best.InFlight, "load", best.Load, "slots", best.Slots,
+		"factor", math.Round(best.LatencyFactor*100) / 100, "pace", math.Round(best.Pace*100) / 100,
+		"pace_age_ms", int64(best.PaceAge), "in_flight", best.InFlight, "load", best.Load, "slots", best.Slots,
 		"report_age_ms", int64(best.ReportAge), "warm", best.Warm, "cold", best.Cold,
 	}
 }
