placement: learn latencies without following long-tailed work

Cause: 3 in 100 requests take seven times as long by nature. One of them moved a server's factor to 1.7 and its domain's to 1.6, and one that timed out counted as a queue at all servers of its domain.

A ratio far above the average counts little unless the one before was as far; a sample of the route's averages counts as at most twice the average; a timeout shows a queue from the second in a row on; a run longer than any cold one is no miss of a warm object.

--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -66,6 +66,7 @@
 		// overloads is keyed by service.
 		overloads        map[string]*overload
 		needlessRefusals int
+		counts           Counts
 		listReceived     bool
 	}
 
--- a/placement/domain_load.go
+++ b/placement/domain_load.go
@@ -16,6 +16,7 @@
 	updatedAt clock.Millis
 	factor    float64
 	factorAt  clock.Millis
+	ratio     latencyRatio
 	// pace is the mean of the paces that these servers report, as of paceAt, which is
 	// zero if there is none.
 	pace   float64
@@ -43,7 +44,7 @@
 // recordRatio adds the ratio of actual to expected latency of a request to the
 // average.
 func (l *domainLoad) recordRatio(now clock.Millis, ratio float64) {
-	l.factor = ewma(l.factorNow(now), min(ratio, maxLatencyFactor), domainLoadWeight)
+	l.factor, _ = l.ratio.add(l.factorNow(now), min(ratio, maxLatencyFactor), domainLoadWeight)
 	l.factorAt = now
 }
 
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -76,6 +76,12 @@
 	// maxLearningFactor is the latency factor above which a server's latencies
 	// are not added to the model.
 	maxLearningFactor = 1.6
+	// maxSample limits a latency that is added to an average, in relation to it. With 2,
+	// 3 in 100 requests that take seven times as long shift it by 3 % and not by 18 %.
+	maxSample = 2.0
+	// maxMissRatio is the ratio to the average of cold requests from which a request took
+	// long for another reason than a cold object.
+	maxMissRatio = 1.6
 )
 
 // outcomeNames are the names of the outcomes in logs and metrics. They are part of that
@@ -129,8 +135,7 @@
 	case Unreachable:
 		s.recordFailure(now)
 	case TimedOut:
-		s.updateLatencyFactor(now, c, max(c.baseLatency, now-c.sentAt), c.pace)
-		s.domainLoad.record(now, b.loadAhead(c, now-c.sentAt))
+		b.recordTimeout(now, c)
 	case Canceled, Withheld:
 	}
 }
@@ -141,21 +146,18 @@
 func (b *Balancer) learn(c *Choice, took clock.Millis, pace float64) {
 	now := c.sentAt + took
 	took = max(1, took-b.roundTrips[c.Server.Region])
-	c.state.updateLatencyFactor(now, c, took, pace)
+	if !c.state.updateLatencyFactor(now, c, took, pace) {
+		b.counts.IsolatedLatencies++
+	}
 	took = max(1, clock.Millis(float64(took)/pace))
 	if !c.uncontended || c.state.latencyFactor > maxLearningFactor {
 		return
 	}
 	model := b.latencyModelOf(c.query)
 	if c.servedRecently {
-		c.fanout.recordWarmRequest(took > (model.warm.value()+model.cold.value())/2)
-	}
-	if c.warm {
-		model.warm.add(took)
-	} else {
-		model.cold.add(took)
+		c.fanout.recordWarmRequest(model.isMiss(took))
 	}
-	model.overall.add(took)
+	model.add(took, c.warm)
 }
 
 // loadAhead estimates how many requests were ahead of one that timed out.
@@ -167,12 +169,25 @@
 // updateLatencyFactor moves a server's latency factor towards the ratio of
 // actual to expected latency of a request at the given pace. The bounds are those of the
 // factor and the pace together, so that answers correct a server that reports a wrong pace.
-func (s *serverState) updateLatencyFactor(now clock.Millis, c *Choice, took clock.Millis, pace float64) {
+// It reports whether the ratio counted in full.
+func (s *serverState) updateLatencyFactor(now clock.Millis, c *Choice, took clock.Millis, pace float64) bool {
 	ratio := float64(took) / float64(max(c.baseLatency, 1)) / pace
-	factor := ewma(s.currentLatencyFactor(now), ratio, latencyFactorWeight)
+	factor, full := s.latencyRatio.add(s.currentLatencyFactor(now), ratio, latencyFactorWeight)
 	s.domainLoad.recordRatio(now, ratio)
 	s.latencyFactor = min(max(factor, minLatencyFactor/max(pace, 1)), maxLatencyFactor/min(pace, 1))
 	s.latencyFactorAt = now
+	return full
+}
+
+// recordTimeout learns from a request that was not answered in time. A single one may be a
+// request that takes long by nature; only from the second in a row on it shows a queue.
+func (b *Balancer) recordTimeout(now clock.Millis, c *Choice) {
+	took := max(c.baseLatency, now-c.sentAt)
+	if c.state.updateLatencyFactor(now, c, took, c.pace) {
+		c.state.domainLoad.record(now, b.loadAhead(c, now-c.sentAt))
+	} else {
+		b.counts.IsolatedLatencies++
+	}
 }
 
 // SetRoundTrip records the network round-trip time to a region.
@@ -190,6 +205,29 @@
 	}
 }
 
+// isMiss reports whether a request for an object that was expected to be warm took about as
+// long as a cold one. One that took much longer did so for another reason.
+func (m *latencyModel) isMiss(took clock.Millis) bool {
+	return took > (m.warm.value()+m.cold.value())/2 && float64(took) < maxMissRatio*m.cold.ms
+}
+
+// add adds the latency of a request. What goes far beyond the average counts as maxSample
+// times it, so that a few requests which take several times as long by nature hardly shift
+// it.
+func (m *latencyModel) add(took clock.Millis, warm bool) {
+	average := &m.cold
+	if warm {
+		average = &m.warm
+	}
+	if average.hasEnoughSamples() {
+		m.overall.add(min(took, clock.Millis(max(maxSample*average.ms, m.cold.ms))))
+		average.add(min(took, clock.Millis(maxSample*average.ms)))
+		return
+	}
+	m.overall.add(took)
+	average.add(took)
+}
+
 func (a *movingAverage) add(latency clock.Millis) {
 	a.samples++
 	a.ms = ewma(a.ms, float64(latency), averageWeight)
--- a/placement/server.go
+++ b/placement/server.go
@@ -69,6 +69,7 @@
 		// latencyFactorAt.
 		latencyFactor   float64
 		latencyFactorAt clock.Millis
+		latencyRatio    latencyRatio
 		// pace is what the server reports of its machine.
 		pace pace
 		// listedAt is when the server was first listed.
--- a/steering/run.go
+++ b/steering/run.go
@@ -162,6 +162,8 @@
 		p.Membership.refresh()
 		p.ControlState.DetectOutage()
 		metrics.GetOrRegisterCounter("refusals.needless", p.Metrics).Inc(int64(p.Balancer.TakeNeedlessRefusals()))
+		counts := p.Balancer.TakeCounts()
+		metrics.GetOrRegisterCounter("servers.isolated_latencies", p.Metrics).Inc(int64(counts.IsolatedLatencies))
 		metrics.GetOrRegisterGauge("quota.part", p.Metrics).Update(int64(p.Membership.ownPart() * partUnit))
 		p.RateLimiter.SyncBuckets(p.ControlState.RateLimitedWorkspaces())
 		if time.Since(prunedAt) > pruneInterval {
