steering: answer look-ups by capacity, and while no instance is ready

Cause: look-ups named all instances of a domain alike, also those short of descriptors or memory, and were answered 503 until the first instance had joined and had a configuration. An instance that heard nobody named only itself.

Instances state processor, memory, link and descriptors once in their entry (limits.cpuShare, cores, maxFds are read and checked), and say in it when they are near a limit of their own. Bytes and connections of callers are counted by a listener around the present one. A look-up just after a start waits up to 400 ms for a ready instance; without one it names those that may become ready, to be kept for 250 ms. Each answer is counted by cause; what is not a full one has a log line at a bounded rate.

Weighed: waiting for a ready instance without a bound (callers expect an answer within a second); naming unready ones at once (requests would be refused).

--- a/origin/pool.go
+++ b/origin/pool.go
@@ -251,6 +251,17 @@
 	p.serverConns(server).open--
 }
 
+// Open returns the number of open connections to all servers.
+func (p *Pool) Open() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	open := 0
+	for _, conns := range p.servers {
+		open += conns.open
+	}
+	return open
+}
+
 // put returns a connection to the idle ones, or closes it if it is not reusable.
 func (p *Pool) put(server placement.Server, c *conn, reusable bool) {
 	if !reusable {
--- a/steering/adapter.go
+++ b/steering/adapter.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/bulrushferry/bulrushferry/clock"
+	"github.com/bulrushferry/bulrushferry/directory"
 	"github.com/bulrushferry/bulrushferry/fleet"
 	"github.com/bulrushferry/bulrushferry/origin"
 	"github.com/bulrushferry/bulrushferry/values"
@@ -37,7 +39,12 @@
 		MemoryMB int
 		// LinkMbitPerS is the speed of the instance's network link.
 		LinkMbitPerS int
-		Bounds       Bounds
+		// CPUShare is the share of each of Cores processor cores that the instance may
+		// use, and MaxFDs its limit on open descriptors; zero means unknown.
+		CPUShare float64
+		Cores    float64
+		MaxFDs   int
+		Bounds   Bounds
 	}
 
 	// Bounds are the time limits and rates that the deployment has to stay within.
@@ -102,9 +109,9 @@
 	// readiness checks.
 	Endpoints interface {
 		// Lookup returns a handler that responds with the addresses that choose
-		// returns for the caller's region and failure domain. Callers may cache
-		// them for maxAge.
-		Lookup(choose func(region, domain string) []string, maxAge func() clock.Millis) fasthttp.RequestHandler
+		// returns for a caller whose look-up was received at a time. Callers may cache
+		// a full answer for maxAge.
+		Lookup(choose func(caller directory.Caller, received time.Time) directory.Answer, maxAge func() clock.Millis) fasthttp.RequestHandler
 		// Ready returns a handler that reports whether this instance accepts
 		// requests.
 		Ready(ready func() bool) fasthttp.RequestHandler
--- a/steering/endpoints.go
+++ b/steering/endpoints.go
@@ -6,7 +6,6 @@
 	"github.com/bulrushferry/bulrushferry/clock"
 	"github.com/rcrowley/go-metrics"
 	"github.com/valyala/fasthttp"
-	"google.golang.org/protobuf/proto"
 )
 
 // maxLookupAge limits how long callers may cache the result of a lookup.
@@ -18,7 +17,7 @@
 	s := p.Adapter.Settings
 	maxAge := func() clock.Millis { return min(maxLookupAge, p.LiveSettings.get().Bounds.LookupAge) }
 	handlers := map[string]fasthttp.RequestHandler{
-		s.LookupAddress:  p.Adapter.Endpoints.Lookup(p.callerAddresses, maxAge),
+		s.LookupAddress:  p.Adapter.Endpoints.Lookup(p.Lookups.answer, maxAge),
 		s.ReadyAddress:   p.Adapter.Endpoints.Ready(p.isReady),
 		s.MetricsAddress: p.serveMetrics,
 	}
@@ -57,35 +56,5 @@
 // isReady reports whether this instance accepts requests: it has authority and is not
 // stopping.
 func (p process) isReady() bool {
-	return !p.Members.Self().GetStopping() && p.ControlState.HasAuthority()
-}
-
-// callerAddresses returns the addresses of the ready instances for a caller: those in its
-// failure domain, or those in its region if there are none, or else all.
-func (p process) callerAddresses(region, domain string) []string {
-	var inDomain, inRegion, all []string
-	instances := p.Members.Alive(clock.BootTime{}.Now())
-	if p.isReady() {
-		self := proto.CloneOf(p.Members.Self())
-		self.Ready = true
-		instances = append(instances, self)
-	}
-	for _, info := range instances {
-		if info.GetStopping() || !info.GetReady() {
-			continue
-		}
-		all = append(all, info.GetCallerAddress())
-		if info.GetRegion() == region {
-			inRegion = append(inRegion, info.GetCallerAddress())
-		}
-		if info.GetFailureDomain() == domain {
-			inDomain = append(inDomain, info.GetCallerAddress())
-		}
-	}
-	for _, addresses := range [][]string{inDomain, inRegion} {
-		if len(addresses) > 0 {
-			return addresses
-		}
-	}
-	return all
+	return p.Lookups.isReady()
 }
--- a/steering/run.go
+++ b/steering/run.go
@@ -18,6 +18,7 @@
 	"github.com/bulrushferry/bulrushferry/origin"
 	"github.com/bulrushferry/bulrushferry/peer"
 	"github.com/bulrushferry/bulrushferry/placement"
+	"github.com/bulrushferry/bulrushferry/socket"
 	"github.com/bulrushferry/bulrushferry/wire"
 	"github.com/hashicorp/go-hclog"
 	"github.com/joomcode/errorx"
@@ -44,6 +45,9 @@
 	Memory       *http1.Memory
 	Handler      *Handler
 	Gateway      *gateway.Server
+	Lookups      *lookups
+	OwnLimits    *ownLimits
+	Meter        *socket.Meter
 }
 
 const (
@@ -117,7 +121,7 @@
 	go p.Gossip.Run(background)
 	go p.RateLimiter.Run(background)
 	go p.refreshPeriodically(background)
-	go func() { _ = p.Gateway.Serve(listener) }()
+	go func() { _ = p.Gateway.Serve(p.Meter.Listen(listener)) }()
 	go p.watchSettings(background, hangups)
 	p.Log.Info("entry instance started", "incarnation", p.Members.Self().GetIncarnation(), "callers", p.Adapter.Settings.CallerAddress)
 	<-ctx.Done()
@@ -159,6 +163,7 @@
 	prunedAt := time.Now()
 	for ctx.Err() == nil {
 		p.Members.SetReady(p.isReady())
+		p.OwnLimits.update(clock.BootTime{}.Now())
 		p.Membership.refresh()
 		p.ControlState.DetectOutage()
 		metrics.GetOrRegisterCounter("refusals.needless", p.Metrics).Inc(int64(p.Balancer.TakeNeedlessRefusals()))
--- a/steering/wiring.go
+++ b/steering/wiring.go
@@ -4,6 +4,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"io"
+	"math"
 
 	"github.com/bulrushferry/bulrushferry/clock"
 	"github.com/bulrushferry/bulrushferry/fleet"
@@ -12,6 +13,7 @@
 	"github.com/bulrushferry/bulrushferry/origin"
 	"github.com/bulrushferry/bulrushferry/peer"
 	"github.com/bulrushferry/bulrushferry/placement"
+	"github.com/bulrushferry/bulrushferry/socket"
 	"github.com/bulrushferry/bulrushferry/values"
 	"github.com/bulrushferry/bulrushferry/wire"
 	"github.com/hashicorp/go-hclog"
@@ -49,6 +51,9 @@
 		newRetryBudget,
 		newRequestHandler,
 		newGateway,
+		newLookups,
+		newOwnLimits,
+		func() *socket.Meter { return &socket.Meter{} },
 	}
 	for _, constructor := range constructors {
 		if err := c.Provide(constructor); err != nil {
@@ -71,6 +76,10 @@
 		PeerAddress:   s.PeerAddress,
 		CallerAddress: s.CallerAddress,
 		LinkMbitPerS:  int32(s.LinkMbitPerS),
+
+		CpuMillicores:  int32(s.processor() * millicoresPerCore),
+		MemoryMb:       int32(min(s.MemoryMB, math.MaxInt32)),
+		MaxDescriptors: int32(s.MaxFDs),
 	}, s.Bounds.Authority), nil
 }
 
