steering: read the members once for the look-ups of 50 ms

The view is kept for up to 50 ms, unless it has no ready instance or this one has become or ceased to be ready; instances are filtered with one allocation, and the median of a resource is worked out only where one is unknown. Weighed: a view made anew at each change of a member, which changes twice a second in a large fleet.

New tests: two instances with different views, an entry of an ended process.

--- a/directory/choose_test.go
+++ b/directory/choose_test.go
@@ -213,6 +213,46 @@
 	}
 }
 
+// TestDifferentViews guards against callers that lose connections because they ask two
+// instances with different views, as the halves of a fleet have while it is cut in two: both
+// answers name the same instances of those that both know, for nearly all callers.
+func TestDifferentViews(t *testing.T) {
+	instances := testDomain(2, 17)
+	seen := answersOf(View{Ready: append(slices.Clone(instances[:5]), instances[8:]...)})
+	different := 0
+	for n, answer := range answersOf(View{Ready: append(slices.Clone(instances[:12]), instances[14:]...)}) {
+		kept := slices.DeleteFunc(slices.Clone(answer), func(address string) bool {
+			return slices.ContainsFunc(instances[5:8], func(in Instance) bool { return in.Address == address })
+		})
+		for _, address := range kept {
+			if !slices.Contains(seen[n], address) {
+				different++
+				break
+			}
+		}
+	}
+	if different > testCallers/20 {
+		t.Errorf("%d of %d callers get other instances", different, testCallers)
+	}
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, size := range []int{7, 105, 1000, 5300} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			const domains = 6
+			instances := testDomain(size/10, size-size/10)
+			for i := range instances {
+				instances[i].Domain = fmt.Sprint(i % domains)
+			}
+			caller := testCaller(1)
+			caller.Domain = "1"
+			for b.Loop() {
+				Choose(caller, View{Ready: instances})
+			}
+		})
+	}
+}
+
 // TestImplausibleCapacities guards against a peer's entry with impossible figures.
 func TestImplausibleCapacities(t *testing.T) {
 	instances := testDomain(2, 17)
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -49,8 +49,9 @@
 		// the instances that were ready when they were last heard from.
 		Isolated  bool
 		LastHeard []Instance
-		// Self is this instance's name.
-		Self string
+		// Self is this instance's name, and SelfReady set if it takes requests.
+		Self      string
+		SelfReady bool
 		// Unready are the other instances that may be running but are not known to take
 		// requests, and this one unless it stops.
 		Unready []Instance
@@ -114,7 +115,7 @@
 	} else if view.Isolated && len(view.LastHeard) > 0 {
 		cause = Isolated
 	}
-	free := withoutNearLimit(local)
+	free := filter(local, func(in Instance) bool { return !in.NearLimit })
 	if len(free) == 0 {
 		free, cause = local, NearLimits
 	}
@@ -137,33 +138,35 @@
 // nearest returns the instances in the caller's failure domain, or those in its region if
 // there are none, or else all.
 func nearest(caller Caller, instances []Instance) ([]Instance, Cause) {
-	var inDomain, inRegion []Instance
-	for _, in := range instances {
-		if in.Region == caller.Region {
-			inRegion = append(inRegion, in)
-		}
-		if in.Domain == caller.Domain {
-			inDomain = append(inDomain, in)
-		}
-	}
-	switch {
-	case len(inDomain) > 0:
+	isInDomain := func(in Instance) bool { return in.Domain == caller.Domain }
+	isInRegion := func(in Instance) bool { return in.Region == caller.Region }
+	if inDomain := filter(instances, isInDomain); len(inDomain) > 0 {
 		return inDomain, Full
-	case len(inRegion) > 0:
+	}
+	if inRegion := filter(instances, isInRegion); len(inRegion) > 0 {
 		return inRegion, OtherDomain
-	default:
-		return instances, OtherRegion
 	}
+	return instances, OtherRegion
 }
 
-func withoutNearLimit(instances []Instance) []Instance {
-	var free []Instance
+// filter returns the instances that match. The result may be the given slice.
+func filter(instances []Instance, matches func(Instance) bool) []Instance {
+	count := 0
 	for _, in := range instances {
-		if !in.NearLimit {
-			free = append(free, in)
+		if matches(in) {
+			count++
 		}
 	}
-	return free
+	if count == len(instances) {
+		return instances
+	}
+	out := make([]Instance, 0, count)
+	for _, in := range instances {
+		if matches(in) {
+			out = append(out, in)
+		}
+	}
+	return out
 }
 
 // withSelf adds this instance to the chosen ones, in place of the last one if there are
--- a/directory/sample.go
+++ b/directory/sample.go
@@ -70,15 +70,11 @@
 		out[i] = weighted{Instance: in, weight: math.Inf(1)}
 	}
 	for _, r := range resources {
-		usual := median(instances, r.amount)
-		if usual == 0 {
+		amounts := knownAmounts(instances, r.amount)
+		if amounts == nil {
 			continue
 		}
-		for i, in := range instances {
-			amount := r.amount(in.Capacity)
-			if !(amount > 0) {
-				amount = usual
-			}
+		for i, amount := range amounts {
 			out[i].weight = min(out[i].weight, amount/r.perCore)
 		}
 	}
@@ -97,19 +93,29 @@
 	return out
 }
 
-// median returns the median of the known amounts of a resource, or zero if none is known.
-func median(instances []Instance, amount func(Capacity) float64) float64 {
+// knownAmounts returns the instances' amounts of a resource, with the median in place of
+// unknown ones, or nil if none is known.
+func knownAmounts(instances []Instance, amount func(Capacity) float64) []float64 {
+	amounts := make([]float64, len(instances))
 	var known []float64
-	for _, in := range instances {
-		if a := amount(in.Capacity); a > 0 {
-			known = append(known, a)
+	for i, in := range instances {
+		if amounts[i] = amount(in.Capacity); amounts[i] > 0 {
+			known = append(known, amounts[i])
 		}
 	}
 	if len(known) == 0 {
-		return 0
+		return nil
+	}
+	if len(known) == len(amounts) {
+		return amounts
 	}
 	slices.Sort(known)
-	return known[len(known)/2]
+	for i, a := range amounts {
+		if !(a > 0) {
+			amounts[i] = known[len(known)/2]
+		}
+	}
+	return amounts
 }
 
 // draw returns a number of the instances, or all if there are no more. It is Pareto sampling
--- a/steering/lookups.go
+++ b/steering/lookups.go
@@ -25,8 +25,11 @@
 		// held counts the look-ups that wait for an instance to become ready.
 		held atomic.Int64
 
-		mu     sync.Mutex
-		shared directory.SharedAddresses
+		mu sync.Mutex
+		// recent is the last view, and recentAt when it was taken.
+		recent   directory.View
+		recentAt clock.Millis
+		shared   directory.SharedAddresses
 		// logged holds when a line was last written, and unlogged how many look-ups
 		// there were since then, by the reason.
 		logged   map[string]clock.Millis
@@ -44,6 +47,9 @@
 	lookupRecheck = 25 * time.Millisecond
 	// maxHeldLookups limits the look-ups that wait at a time.
 	maxHeldLookups = 64
+	// viewAge is how long a view with ready instances is used. Reading thousands of
+	// members takes milliseconds.
+	viewAge = 50 * clock.Millis(1)
 	// lateLookup is the time in this process after which an answer counts as late.
 	lateLookup = 500 * time.Millisecond
 	// lookupLogInterval is the time between two log lines for the same reason.
@@ -120,23 +126,32 @@
 	l.mu.Unlock()
 	l.log.Warn("look-up without a full answer in time", "reason", reason, "lookups", count, "caller", caller.Address, "region", caller.Region, "domain", caller.Domain,
 		"named", len(answer.Addresses), "ready", len(view.Ready), "last_heard", len(view.LastHeard), "unready", len(view.Unready),
-		"self_ready", l.isReady(), "joined", l.controlState.Joined(), "took_ms", took.Milliseconds(), "up_ms", int64(now-l.startedAt))
+		"self_ready", view.SelfReady, "joined", l.controlState.Joined(), "took_ms", took.Milliseconds(), "up_ms", int64(now-l.startedAt))
 }
 
-// view returns what this instance knows of the fleet.
+// view returns what this instance knows of the fleet. It takes a new view if the last one is
+// too old, has no ready instance, or if this instance has become or ceased to be ready.
 func (l *lookups) view(now clock.Millis) directory.View {
+	ready := l.isReady()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now-l.recentAt >= viewAge || len(l.recent.Ready) == 0 || ready != l.recent.SelfReady {
+		l.recent, l.recentAt = l.takeView(now, ready), now
+	}
+	return l.recent
+}
+
+// takeView reads the members.
+func (l *lookups) takeView(now clock.Millis, selfReady bool) directory.View {
 	self := l.members.Self()
 	alive := l.members.Alive(now)
-	view := directory.View{Self: self.GetInstance(), Isolated: len(alive) == 0}
-	ready := make(map[string]bool, len(alive)+1)
+	view := directory.View{Self: self.GetInstance(), SelfReady: selfReady, Isolated: len(alive) == 0}
 	for _, info := range alive {
 		if info.GetReady() && !info.GetStopping() {
-			ready[info.GetInstance()] = true
 			view.Ready = append(view.Ready, directoryInstance(info))
 		}
 	}
-	if l.isReady() {
-		ready[self.GetInstance()] = true
+	if selfReady {
 		view.Ready = append(view.Ready, directoryInstance(self))
 	}
 	if view.Isolated {
--- a/steering/lookups_test.go
+++ b/steering/lookups_test.go
@@ -81,6 +81,18 @@
 			},
 			want: []string{"a"}, cause: directory.Full,
 		},
+		"was near a limit before its restart": {
+			ready: true,
+			act: func(state testControlState) {
+				ended := testPeer("a", true)
+				ended.Incarnation, ended.NearLimit = "1", "memory"
+				restarted := testPeer("a", true)
+				restarted.Incarnation = "2"
+				state.members.Record(restarted, state.manualClock.Now())
+				state.members.Record(ended, state.manualClock.Now()-clock.Second)
+			},
+			want: []string{"a", "self"}, cause: directory.Full,
+		},
 		"all near a limit": {
 			ready: true, act: func(state testControlState) { state.members.SetNearLimit("memory") },
 			want: []string{"self"}, cause: directory.NearLimits,
@@ -152,3 +164,19 @@
 	w.count++
 	return len(line), nil
 }
+
+func BenchmarkLookup(b *testing.B) {
+	for _, size := range []int{7, 105, 1000, 5300} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			l, state := newTestLookups(true)
+			for i := range size {
+				peer := testPeer(fmt.Sprint("i", i), true)
+				peer.FailureDomain, peer.CpuMillicores = fmt.Sprint(i%6), int32(100+700*(i%2))
+				state.members.Record(peer, state.manualClock.Now())
+			}
+			for b.Loop() {
+				l.answer(directory.Caller{Address: "127.0.0.1", Region: "r", Domain: "1"}, time.Now())
+			}
+		})
+	}
+}
