--- a/fleet/last_heard.go
+++ b/fleet/last_heard.go
@@ -20,9 +20,13 @@
 	m.setSelf(self)
 }
 
+// lastHeardTime is how long an isolated instance goes on naming those that it heard from last.
+// Callers that are sent to one that has ended lose time, so that it must not be named for long.
+const lastHeardTime = 5 * clock.Second
+
 // LastHeard returns the other instances that were alive when the last of them was heard
-// from, in the order of their names.
-func (m *Members) LastHeard() []*wire.FleetInstance {
+// from, in the order of their names, up to lastHeardTime after that.
+func (m *Members) LastHeard(now clock.Millis) []*wire.FleetInstance {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	latest := clock.Millis(0)
@@ -32,7 +36,7 @@
 	timeout := aliveTimeoutFor(len(m.others) + 1)
 	var out []*wire.FleetInstance
 	for _, other := range m.others {
-		if latest-other.heardAt < timeout {
+		if latest-other.heardAt < timeout && now-other.heardAt < lastHeardTime {
 			out = append(out, other.info)
 		}
 	}
--- a/steering/lookups.go
+++ b/steering/lookups.go
@@ -155,7 +155,7 @@
 		view.Ready = append(view.Ready, directoryInstance(self))
 	}
 	if view.Isolated {
-		for _, info := range l.members.LastHeard() {
+		for _, info := range l.members.LastHeard(now) {
 			if info.GetReady() && !info.GetStopping() {
 				view.LastHeard = append(view.LastHeard, directoryInstance(info))
 			}
