--- a/steering/lookups_test.go
+++ b/steering/lookups_test.go
@@ -67,8 +67,10 @@
 		},
 		"hears nobody for long": {
 			ready: true,
-			act:   func(state testControlState) { state.members.Record(testPeer("a", true), state.manualClock.Now()-9*clock.Second) },
-			want:  []string{"self"}, cause: directory.Full,
+			act: func(state testControlState) {
+				state.members.Record(testPeer("a", true), state.manualClock.Now()-9*clock.Second)
+			},
+			want: []string{"self"}, cause: directory.Full,
 		},
 		"a peer is silent, another is not": {
 			ready: true,
