--- a/fleet/gossip.go
+++ b/fleet/gossip.go
@@ -98,10 +98,12 @@
 }
 
 // pickPeers draws the peers of a round from this instance's neighbors only, so that
-// it keeps few connections.
+// it keeps few connections. An instance that is almost alone in its region asks more of the
+// others: leases and heartbeats of small fleets would spread too slowly.
 func (g *Gossip) pickPeers(alive []*wire.FleetInstance) []*wire.FleetInstance {
 	sameRegion, otherRegions := g.neighbors(alive)
-	return append(sample(sameRegion, sameRegionFanout), sample(otherRegions, otherRegionFanout)...)
+	picked := sample(sameRegion, sameRegionFanout)
+	return append(picked, sample(otherRegions, otherRegionFanout+sameRegionFanout-len(picked))...)
 }
 
 // neighbors returns this instance's neighbors in its own region and in the others.
