fleet: leave out the hashes of entries that the peer knows

Cause: a gossip answer holds 8 bytes for the entry of each instance, which both know in quiet times. A request now bears a digest of the sorted hashes; where the peer's is the same, the answer holds ages and leases only.

--- a/fleet/gossip.go
+++ b/fleet/gossip.go
@@ -182,23 +182,27 @@
 func (g *Gossip) exchange(ctx context.Context, address string, includeMissing bool) bool {
 	ctx, cancel := context.WithTimeout(ctx, gossipTimeout)
 	defer cancel()
-	unknown, ok := g.call(ctx, address, &wire.Gossip{Sender: g.config.Members.Self(), Tables: g.digests(includeMissing), Observations: g.observations(), KnownLeases: g.config.Members.KnownLeases()})
+	states := g.config.Members.States(g.config.Clock.Now())
+	unknown, ok := g.call(ctx, address, states, &wire.Gossip{
+		Sender: g.config.Members.Self(), Tables: g.digests(includeMissing), Observations: g.observations(),
+		KnownLeases: g.config.Members.KnownLeases(), StatesDigest: digestStates(states),
+	})
 	if ok && len(unknown) > 0 {
-		_, ok = g.call(ctx, address, &wire.Gossip{Sender: g.config.Members.Self(), Unknown: unknown})
+		_, ok = g.call(ctx, address, nil, &wire.Gossip{Sender: g.config.Members.Self(), Unknown: unknown})
 	}
 	return ok
 }
 
-// call sends one message and applies the answer. It returns the hashes of the
-// entries that are not known here.
-func (g *Gossip) call(ctx context.Context, address string, message *wire.Gossip) (unknown []uint64, ok bool) {
+// call sends one message and applies the answer, given the state hashes that the message stands
+// for. It returns the hashes of the entries that are not known here.
+func (g *Gossip) call(ctx context.Context, address string, states []uint64, message *wire.Gossip) (unknown []uint64, ok bool) {
 	askedAt := g.config.Clock.Now()
 	response, err := g.config.Network.Call(ctx, address, &wire.PeerRequest{Body: &wire.PeerRequest_Gossip{Gossip: message}})
 	g.logReachability(address, err)
 	if err != nil {
 		return nil, false
 	}
-	return g.applyAnswer(response.GetGossip(), askedAt), true
+	return g.applyAnswer(response.GetGossip(), states, askedAt), true
 }
 
 // lacksTable reports whether this instance has no copy yet of at least one table.
@@ -243,7 +247,7 @@
 
 // applyAnswer applies a peer's answer. It returns the hashes of the entries that are
 // not known here.
-func (g *Gossip) applyAnswer(answer *wire.GossipAnswer, askedAt clock.Millis) []uint64 {
+func (g *Gossip) applyAnswer(answer *wire.GossipAnswer, states []uint64, askedAt clock.Millis) []uint64 {
 	g.config.Members.Record(answer.GetSender(), askedAt)
 	g.config.Members.RecordOwnPredecessor(answer.GetPredecessor())
 	for _, info := range answer.GetMembers() {
@@ -251,7 +255,7 @@
 			g.config.OnPeerRestart(info.GetPeerAddress())
 		}
 	}
-	unknown, restarted := g.config.Members.RecordHeartbeats(answer, askedAt)
+	unknown, restarted := g.config.Members.RecordHeartbeats(answer, states, askedAt)
 	for _, address := range restarted {
 		g.config.OnPeerRestart(address)
 	}
@@ -314,7 +318,7 @@
 	answer := &wire.GossipAnswer{Sender: g.config.Members.Self(), Members: g.config.Members.Entries(request.GetUnknown(), now), Tables: g.digests(true)}
 	answer.Predecessor = g.config.Members.Predecessor(request.GetSender().GetInstance(), now)
 	if len(request.GetUnknown()) == 0 {
-		g.config.Members.AddHeartbeats(answer, request.GetKnownLeases(), now)
+		g.config.Members.AddHeartbeats(answer, request, now)
 	}
 	peerIsNewer := false
 	updates := &wire.GossipNews{}
--- a/fleet/gossip_test.go
+++ b/fleet/gossip_test.go
@@ -10,6 +10,7 @@
 	"github.com/bulrushferry/bulrushferry/peer"
 	"github.com/bulrushferry/bulrushferry/wire"
 	"github.com/hashicorp/go-hclog"
+	"google.golang.org/protobuf/proto"
 )
 
 // memoryNetwork connects the Gossips of one process. Those that are down do not
@@ -17,7 +18,7 @@
 type memoryNetwork struct {
 	peers map[string]*Gossip
 	down  map[string]bool
-	// calls and bytes count what was sent; bytes is an estimate.
+	// calls and bytes count what was sent.
 	calls int
 	bytes int
 }
@@ -28,7 +29,7 @@
 	}
 	answer := n.peers[address].Handle(ctx, request.GetGossip())
 	n.calls++
-	n.bytes += len(answer.GetStates())*12 + len(answer.GetMembers())*100
+	n.bytes += proto.Size(request) + proto.Size(answer)
 	return &wire.PeerResponse{Body: &wire.PeerResponse_Gossip{Gossip: answer}}, nil
 }
 
--- a/fleet/heartbeats.go
+++ b/fleet/heartbeats.go
@@ -1,6 +1,10 @@
 package fleet
 
 import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+
 	"github.com/bulrushferry/bulrushferry/clock"
 	"github.com/bulrushferry/bulrushferry/wire"
 	"github.com/cespare/xxhash/v2"
@@ -83,59 +87,98 @@
 	return hashes
 }
 
-// AddHeartbeats adds to an answer to a peer the hashes of the entries of all instances, how
-// long ago each was last heard from, and the leases that they have stated. The content of
-// leases that the peer knows is left out.
-func (m *Members) AddHeartbeats(answer *wire.GossipAnswer, known []uint64, now clock.Millis) {
+// heartbeat is what is said of one instance.
+type heartbeat struct {
+	state uint64
+	age   clock.Millis
+	lease memberLease
+	// lag is by how much the lease was stated earlier than the instance was heard from.
+	lag clock.Millis
+}
+
+// heartbeats returns what is known of all instances, in ascending order of the hashes of their
+// entries. The caller must hold the lock.
+func (m *Members) heartbeats(now clock.Millis) []heartbeat {
+	list := make([]heartbeat, 0, len(m.others)+1)
+	list = append(list, heartbeat{state: m.selfHash, lease: m.ownLease})
+	for _, other := range m.others {
+		if age := now - other.heardAt; age < majorityWindow {
+			list = append(list, heartbeat{state: other.hash, age: max(age, 0), lease: other.lease, lag: max(other.heardAt-other.lease.statedAt, 0)})
+		}
+	}
+	slices.SortFunc(list, func(a, b heartbeat) int { return cmp.Compare(a.state, b.state) })
+	return list
+}
+
+// States returns the hashes of the entries of all instances, in ascending order.
+func (m *Members) States(now clock.Millis) []uint64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	indexes := make(map[uint64]uint32)
-	peerKnows := make(map[uint64]struct{}, len(known))
-	for _, hash := range known {
-		peerKnows[hash] = struct{}{}
+	list := m.heartbeats(now)
+	states := make([]uint64, len(list))
+	for i, h := range list {
+		states[i] = h.state
+	}
+	return states
+}
+
+// digestStates returns a hash of the hashes of entries.
+func digestStates(states []uint64) uint64 {
+	raw := make([]byte, 0, 8*len(states))
+	for _, state := range states {
+		raw = binary.LittleEndian.AppendUint64(raw, state)
 	}
-	add := func(hash uint64, age clock.Millis, lease memberLease, lag clock.Millis) {
+	return xxhash.Sum64(raw)
+}
+
+// AddHeartbeats adds to the answer to a peer the hashes of the entries of all instances, unless
+// the peer knows the same, how long ago each was last heard from, and the leases that they have
+// stated. The content of leases that the peer knows is left out.
+func (m *Members) AddHeartbeats(answer *wire.GossipAnswer, request *wire.Gossip, now clock.Millis) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	indexes := make(map[uint64]uint32)
+	for _, h := range m.heartbeats(now) {
 		index := uint32(0)
-		if lease.number > 0 {
-			index = indexes[lease.hash]
+		if h.lease.number > 0 {
+			index = indexes[h.lease.hash]
 			if index == 0 {
-				answer.LeaseHashes = append(answer.LeaseHashes, lease.hash)
+				answer.LeaseHashes = append(answer.LeaseHashes, h.lease.hash)
 				index = uint32(len(answer.GetLeaseHashes()))
-				indexes[lease.hash] = index
-				if _, ok := peerKnows[lease.hash]; !ok {
-					answer.Leases = append(answer.Leases, m.leases[lease.hash])
+				indexes[h.lease.hash] = index
+				if !slices.Contains(request.GetKnownLeases(), h.lease.hash) {
+					answer.Leases = append(answer.Leases, m.leases[h.lease.hash])
 				}
 			}
 		}
-		answer.States = append(answer.States, hash)
-		answer.Ages = append(answer.Ages, uint32(max(age, 0)))
+		answer.States = append(answer.States, h.state)
+		answer.Ages = append(answer.Ages, uint32(h.age))
 		answer.LeaseIndexes = append(answer.LeaseIndexes, index)
-		answer.LeaseNumbers = append(answer.LeaseNumbers, lease.number)
-		answer.LeaseLags = append(answer.LeaseLags, uint32((max(lag, 0)+leaseLagUnit-1)/leaseLagUnit))
-	}
-	if m.ownLease.number > 0 {
-		add(entryHash(m.self), 0, m.ownLease, 0)
-	}
-	for _, other := range m.others {
-		if age := now - other.heardAt; age < majorityWindow {
-			lag := clock.Millis(0)
-			if other.lease.number > 0 {
-				lag = other.heardAt - other.lease.statedAt
-			}
-			add(other.hash, age, other.lease, lag)
+		answer.LeaseNumbers = append(answer.LeaseNumbers, h.lease.number)
+		lag := uint32(0)
+		if index > 0 {
+			lag = uint32((h.lag + leaseLagUnit - 1) / leaseLagUnit)
 		}
+		answer.LeaseLags = append(answer.LeaseLags, lag)
+	}
+	if request.GetStatesDigest() == digestStates(answer.GetStates()) {
+		answer.States = nil
 	}
 }
 
 // RecordHeartbeats records from a peer's answer how long ago it heard from instances, each
-// identified by the hash of its entry, and their leases. The ages count from when the peer was
-// asked. It returns the hashes of unknown entries, and the peer addresses of the instances that
-// have restarted.
-func (m *Members) RecordHeartbeats(answer *wire.GossipAnswer, askedAt clock.Millis) (unknown []uint64, restarted []string) {
+// identified by the hash of its entry, and their leases. Known are the hashes that the request
+// stood for. The ages count from when the peer was asked. It returns the hashes of unknown
+// entries, and the peer addresses of the instances that have restarted.
+func (m *Members) RecordHeartbeats(answer *wire.GossipAnswer, known []uint64, askedAt clock.Millis) (unknown []uint64, restarted []string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.recordLeases(answer.GetLeases())
-	for i, hash := range answer.GetStates()[:min(len(answer.GetStates()), len(answer.GetAges()))] {
+	states := answer.GetStates()
+	if len(states) == 0 && len(known) == len(answer.GetAges()) {
+		states = known
+	}
+	for i, hash := range states[:min(len(states), len(answer.GetAges()))] {
 		info, ok := m.entries[hash]
 		if !ok {
 			unknown = append(unknown, hash)
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -21,8 +21,10 @@
 		// that instance has stopped serving by itself.
 		shareTimeout clock.Millis
 
-		mu   sync.Mutex
-		self *wire.FleetInstance
+		mu sync.Mutex
+		// self is this instance's own entry, selfHash its hash.
+		self     *wire.FleetInstance
+		selfHash uint64
 		// others holds one member for each other instance, by name.
 		others map[string]*member
 		// entries holds the known membership entries by their hashes. Earlier
@@ -131,8 +133,8 @@
 // setSelf replaces this instance's own entry. It also stores the entry by its hash,
 // because peers report it back. The caller must hold the lock.
 func (m *Members) setSelf(self *wire.FleetInstance) {
-	m.self = self
-	m.entries[entryHash(self)] = self
+	m.self, m.selfHash = self, entryHash(self)
+	m.entries[m.selfHash] = self
 }
 
 // Record records an entry that was valid at the given time. It reports whether the
--- a/tokens/model_view_test.go
+++ b/tokens/model_view_test.go
@@ -68,7 +68,7 @@
 	f.send(i, other, func() {
 		other.members.Record(request.GetSender(), other.Now())
 		answer := &wire.GossipAnswer{Sender: other.members.Self()}
-		other.members.AddHeartbeats(answer, request.GetKnownLeases(), other.Now())
+		other.members.AddHeartbeats(answer, request, other.Now())
 		unknown := slices.DeleteFunc(slices.Clone(answer.GetStates()), func(hash uint64) bool { return i.knownEntries[hash] })
 		answer.Members = other.members.Entries(unknown, other.Now())
 		f.send(other, i, func() {
@@ -79,7 +79,7 @@
 			for _, info := range answer.GetMembers() {
 				members.RecordReport(info, askedAt)
 			}
-			missing, _ := members.RecordHeartbeats(answer, askedAt)
+			missing, _ := members.RecordHeartbeats(answer, nil, askedAt)
 			for _, hash := range answer.GetStates() {
 				i.knownEntries[hash] = !slices.Contains(missing, hash)
 			}
