tokens: do not follow a former owner's word to one that does not answer

Cause: after an owner was killed, the new owner named it for as long as its own view lagged, and requests followed that for 2 s. A redirection now ends with a failed exchange.

steering: the refusal near a stop logs the time that was allowed for the request and the time until the stop.

--- a/fleet/parts.go
+++ b/fleet/parts.go
@@ -166,9 +166,10 @@
 }
 
 // IsSilent reports whether a process of an instance has been heard from so long ago that it may
-// have ended. That takes 97 in 100 heartbeats less time to spread.
+// have ended. 99 in 100 heartbeats take less time to spread, so that few owners that are running
+// count as silent.
 func (m *Members) IsSilent(instance string, now clock.Millis) bool {
-	timeout := m.aliveTimeout() * 4 / 10
+	timeout := m.aliveTimeout() * 6 / 10
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	other, ok := m.others[instance]
--- a/steering/attempt.go
+++ b/steering/attempt.go
@@ -52,9 +52,10 @@
 			h.giveUp(req, maybeRan, refusal.Reason, refusal.RetryAfter, refusalFields(refusal)...)
 			return
 		}
-		if !h.endsInTime(req, left, choice.ExpectedLatency) {
+		if needed, stopsIn := h.timeToEnd(req, left, choice.ExpectedLatency); needed >= stopsIn {
 			h.config.Balancer.Done(h.config.Clock.Now(), choice, placement.Result{Outcome: placement.Canceled})
-			h.giveUp(req, maybeRan, "this instance stops before the request would end", 0, "expected_ms", int64(choice.ExpectedLatency), "left_ms", int64(left))
+			h.giveUp(req, maybeRan, "this instance stops before the request would end", 0,
+				"expected_ms", int64(choice.ExpectedLatency), "needed_ms", int64(needed), "stops_in_ms", int64(stopsIn), "left_ms", int64(left))
 			return
 		}
 		if sent > 0 && !h.config.RetryBudget.TryWithdraw(req.service) {
--- a/steering/handler.go
+++ b/steering/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -116,20 +117,20 @@
 	h.stopsAt.Store(int64(h.config.Clock.Now() + after))
 }
 
-// endsInTime reports whether a request with some time left that is expected to take a
-// latency can end before the instance stops. One that may not be repeated must also be able to
-// take somewhat longer than the slowest of its service lately.
-func (h *Handler) endsInTime(req *callerRequest, left, expected clock.Millis) bool {
+// timeToEnd returns the time that is allowed for a request with some time left that is expected
+// to take a latency, and the time until the instance stops. One that may not be repeated must
+// also be able to take somewhat longer than the slowest of its service lately.
+func (h *Handler) timeToEnd(req *callerRequest, left, expected clock.Millis) (needed, stopsIn clock.Millis) {
 	stopsAt := clock.Millis(h.stopsAt.Load())
 	if stopsAt == 0 {
-		return true
+		return 0, math.MaxInt64
 	}
 	now := h.config.Clock.Now()
-	needed := stopLatencyFactor * expected
+	needed = stopLatencyFactor * expected
 	if req.route.Mode != routing.Idempotent {
 		needed = max(needed, h.peaks.get(now, req.service)*stopPeakPercent/100)
 	}
-	return min(left, needed) < stopsAt-now
+	return min(left, needed), stopsAt - now
 }
 
 // Close makes the handler refuse new requests. During shutdown a request that is
--- a/tokens/exchange.go
+++ b/tokens/exchange.go
@@ -278,7 +278,10 @@
 		if want.GetTokens() > 0 && part != nil {
 			tokens.Add(now, finite(part.GetTokens()), clock.Millis(part.GetEmptyMs()))
 		}
-		if tokens.redirect(now, part.GetOwnerAddress(), l.config.SelfAddress) {
+		if part == nil && tokens.redirectedTo == address {
+			tokens.redirectUntil = 0
+		}
+		if l.peerAt(part.GetOwnerAddress()).failures == 0 && tokens.redirect(now, part.GetOwnerAddress(), l.config.SelfAddress) {
 			l.config.Log.Info("token bucket has another owner", "workspace", workspace, "former", address, "owner", tokens.redirectedTo)
 			due.byPeer[tokens.redirectedTo] = append(due.byPeer[tokens.redirectedTo], workspace)
 			continue
--- a/tokens/handover_test.go
+++ b/tokens/handover_test.go
@@ -62,3 +62,35 @@
 		})
 	}
 }
+
+// TestSilentOwner guards against workspaces that are long without tokens after their owner was
+// killed and did not return: its lease has to end, and the others have to notice.
+func TestSilentOwner(t *testing.T) {
+	const alive = 1800 * clock.Millis(1)
+	longest := clock.Millis(0)
+	for seed := range uint64(10) {
+		f := newModelFleet(rand.New(rand.NewPCG(seed, 2)), 7, quota.Limit{RatePerS: 200, Burst: 200})
+		f.transit = 25
+		f.run(6*clock.Second, 0.6)
+		limiter := f.instances[0].limiter
+		owner := f.find(limiter.route(limiter.tokensOf(f.instances[0].Now(), modelWorkspace)).Instance)
+		owner.up = false
+		killedAt := f.now
+		for _, i := range f.instances {
+			f.at(killedAt+alive+clock.Millis(f.random.IntN(300)), func() { delete(i.running, owner.name) })
+		}
+		lastRefused := killedAt
+		for f.now < killedAt+6*clock.Second {
+			f.refused = 0
+			f.run(50, 0.6)
+			if f.refused > 0 {
+				lastRefused = f.now
+			}
+		}
+		longest = max(longest, lastRefused-killedAt)
+	}
+	t.Logf("requests were refused for up to %d ms after the owner was killed", longest)
+	if longest > 2600 {
+		t.Errorf("requests were refused for %d ms after the owner was killed, want at most 2,600 ms", longest)
+	}
+}
--- a/tokens/leases.go
+++ b/tokens/leases.go
@@ -145,9 +145,7 @@
 			l.owners[owner.Process] = owner
 		}
 	}
-	if l.lessor.Pause(l.silentOwners()) {
-		changed = true
-	}
+	paused := l.lessor.Pause(l.silentOwners())
 	for _, process := range l.lessor.Waiting() {
 		if l.config.Fleet.HasEnded(l.owners[process]) {
 			l.lessor.End(process)
@@ -160,10 +158,12 @@
 			l.lessor.Settle(now)
 		}
 	}
+	if changed || paused {
+		l.publish(now, changed)
+	}
 	if !changed {
 		return nil
 	}
-	l.publish(now)
 	return l.uninformed()
 }
 
@@ -207,15 +207,19 @@
 	return true
 }
 
-// publish states this instance's present lease to the others and to its own buckets. The caller
-// must hold the lock.
-func (l *Limiter) publish(now clock.Millis) {
+// publish states this instance's present lease to the others and to its own buckets. Silent
+// owners alone are no news for the log. The caller must hold the lock.
+func (l *Limiter) publish(now clock.Millis, ownersChanged bool) {
 	number, lease := l.lessor.Statement()
 	l.config.Fleet.SetLease(number, leaseToWire(&lease))
 	l.lessor.Published(l.config.Clock.Now())
 	l.ledger.Record(now, l.config.Process, number, &lease, lease.Hash(), forever)
 	l.setFractions(now)
-	l.config.Log.Info("lease of the limits on workspaces", "number", number, "owners", len(lease.Owners), "former", len(lease.Former), "waiting", len(l.lessor.Waiting()), "paused", len(lease.Paused))
+	log := l.config.Log.Debug
+	if ownersChanged {
+		log = l.config.Log.Info
+	}
+	log("lease of the limits on workspaces", "number", number, "owners", len(lease.Owners), "former", len(lease.Former), "waiting", len(l.lessor.Waiting()), "paused", len(lease.Paused))
 	if len(lease.Former) > 0 || len(l.moved) == 0 {
 		return
 	}
@@ -262,7 +266,7 @@
 	}
 	l.lessor.HoldUntil(read.Latest(restart.First + fleet.RestartTerm))
 	if l.propose(now, owners) {
-		l.publish(now)
+		l.publish(now, true)
 	}
 	l.stableSince, l.startedAt = min(read.Latest(restart.Last), now), now
 	for workspace, tokens := range l.workspaces {
