--- a/fleet/members.go
+++ b/fleet/members.go
@@ -21,8 +21,10 @@
 		// that instance has stopped serving by itself.
 		shareTimeout clock.Millis
 
-		mu   sync.Mutex
-		self *wire.FleetInstance
+		mu sync.Mutex
+		// self is this instance's own entry, selfHash its hash.
+		self     *wire.FleetInstance
+		selfHash uint64
 		// others holds one member for each other instance, by name.
 		others map[string]*member
 		// entries holds the known membership entries by their hashes. Earlier
@@ -131,8 +133,8 @@
 // setSelf replaces this instance's own entry. It also stores the entry by its hash,
 // because peers report it back. The caller must hold the lock.
 func (m *Members) setSelf(self *wire.FleetInstance) {
-	m.self = self
-	m.entries[entryHash(self)] = self
+	m.self, m.selfHash = self, entryHash(self)
+	m.entries[m.selfHash] = self
 }
 
 // Record records an entry that was valid at the given time. It reports whether the
@@ -233,7 +235,7 @@
 
 // Alive returns the other instances that count as alive.
 func (m *Members) Alive(now clock.Millis) []*wire.FleetInstance {
-	return m.HeardWithin(now, m.aliveTimeout())
+	return m.heardWithin(now, m.aliveTimeout())
 }
 
 // aliveTimeout returns how long a silent instance of this fleet counts as alive.
@@ -256,7 +258,7 @@
 	m.mu.Lock()
 	shareTimeout := m.shareTimeout
 	m.mu.Unlock()
-	for _, info := range m.HeardWithin(now, shareTimeout) {
+	for _, info := range m.heardWithin(now, shareTimeout) {
 		if !info.GetStopping() {
 			names = append(names, info.GetInstance())
 		}
@@ -280,12 +282,12 @@
 
 // Known returns all other instances that have not been removed.
 func (m *Members) Known() []*wire.FleetInstance {
-	return m.HeardWithin(0, -1)
+	return m.heardWithin(0, -1)
 }
 
-// HeardWithin returns the other instances last heard from less than maxAge ago, in
+// heardWithin returns the other instances last heard from less than maxAge ago, in
 // the order of their names. A negative maxAge selects all of them.
-func (m *Members) HeardWithin(now, maxAge clock.Millis) []*wire.FleetInstance {
+func (m *Members) heardWithin(now, maxAge clock.Millis) []*wire.FleetInstance {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	out := make([]*wire.FleetInstance, 0, len(m.others))
