placement: let busy servers give objects away

Cause: the busiest server of a service has up to 2.2 times the mean. Objects are bound to servers by hash, with few objects a server; a hot object stays on one server while nothing is refused; reports are too old in a large fleet for a busy server to look busy.

A server whose reported load stays above the mean of its region, and above 0.9 of its slots, keeps a shrinking share of its objects; the rest goes to the first of the next two ranked servers that keeps it. Hashes decide which ones, so instances agree and moved objects become warm where they went.

Tests of placement pass with -race.

--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -67,6 +67,7 @@
 		overloads        map[string]*overload
 		needlessRefusals int
 		counts           Counts
+		events           []Event
 		listReceived     bool
 	}
 
--- a/placement/candidates.go
+++ b/placement/candidates.go
@@ -45,6 +45,9 @@
 		if limit == 0 {
 			limit = b.fanoutOf(now, q.Service, r.region.name).count
 		}
+		if r.rebalance(object, now) {
+			b.counts.MovedObjects++
+		}
 		best := r.best[:min(r.count, most, limit-len(b.selected))]
 		b.selected = append(b.selected, best...)
 		if len(b.selected) == limit {
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -112,6 +112,7 @@
 	if result.HasLoad {
 		s.recordLoad(now, result.Load)
 		b.recordFreeSlot(now, s, result.Load)
+		b.logShare(s)
 	}
 	if result.HasPace {
 		s.recordPace(now, result.Pace)
--- a/placement/pace.go
+++ b/placement/pace.go
@@ -77,7 +77,7 @@
 
 // usualPace returns the mean of the reported paces, which returns to one without reports.
 func (l *domainLoad) usualPace(now clock.Millis) float64 {
-	if l.paceAt == 0 {
+	if l.paceAt == 0 || l.pace == 1 {
 		return 1
 	}
 	return 1 + (l.pace-1)*clock.Decay(now-l.paceAt, usualPaceTimeConstant)
--- a/placement/region.go
+++ b/placement/region.go
@@ -22,6 +22,7 @@
 		added []ringEntry
 		// slots are those of the servers that accept requests.
 		slots int
+		usage usageMean
 	}
 
 	ringEntry struct {
@@ -34,7 +35,7 @@
 	ranking struct {
 		region *regionServers
 		score  float64
-		best   [serversPerRegion]candidate
+		best   [rankedServers]candidate
 		count  int
 	}
 )
@@ -50,6 +51,9 @@
 	ringWalk = 64
 	// maxInsertions is how many servers are inserted into the ring one by one.
 	maxInsertions = 8
+	// rankedServers is how many servers of a region are ranked for an object: those that
+	// may serve it, and others that do if these have too much to do.
+	rankedServers = 3
 	// sampleSize is how many servers of a larger region are drawn to find a free one.
 	sampleSize = 48
 )
@@ -62,6 +66,10 @@
 // servers are ranked.
 func (r *regionServers) add(s *serverState) {
 	s.index = len(r.servers)
+	s.group = r
+	if s.balance.usageAt != 0 {
+		r.usage.add(s.balance.usage)
+	}
 	r.servers = append(r.servers, s)
 	r.added = append(r.added, ringEntry{hash: s.idHash, server: s})
 	r.slots += s.acceptedSlots
@@ -95,6 +103,10 @@
 		}
 	}
 	r.slots -= s.acceptedSlots
+	s.group = nil
+	if s.balance.usageAt != 0 {
+		r.usage.remove(s.balance.usage)
+	}
 }
 
 // position returns the index of the first entry of the ring with the hash or a greater
@@ -166,7 +178,7 @@
 // looks at the servers themselves only in the order of their scores.
 func (r *regionServers) rankProbes(object uint64, out *ranking, usable func(*serverState) bool) {
 	probes := r.probe(object)
-	for left := ringProbes; left > 0 && out.count < serversPerRegion; left-- {
+	for left := ringProbes; left > 0 && out.count < rankedServers; left-- {
 		closest := 0
 		for i := range left {
 			if probes[i].score > probes[closest].score {
@@ -198,10 +210,10 @@
 	for i > 0 && r.best[i-1].score < c.score {
 		i--
 	}
-	if i == serversPerRegion {
+	if i == rankedServers {
 		return
 	}
-	copy(r.best[i+1:], r.best[i:serversPerRegion-1])
+	copy(r.best[i+1:], r.best[i:rankedServers-1])
 	r.best[i] = c
-	r.count = min(r.count+1, serversPerRegion)
+	r.count = min(r.count+1, rankedServers)
 }
--- a/placement/server.go
+++ b/placement/server.go
@@ -25,8 +25,11 @@
 	serverState struct {
 		info   Server
 		idHash uint64
-		// index is the server's place in the list of its region.
+		// index is the server's place in the list of its region, group.
 		index int
+		group *regionServers
+		// balance is next to what a change of the list reads.
+		balance balance
 		// evacuated is set while its failure domain gets no requests, acceptedSlots
 		// are its slots unless it gets none for that or another listed reason.
 		evacuated     bool
@@ -149,6 +152,7 @@
 	s.otherLoad = max(0, load-s.inFlight)
 	s.reportedAt = now
 	s.domainLoad.record(now, s.otherLoad)
+	s.recordUsage(now, load)
 }
 
 // isFull reports whether the server is expected to decline another request.
@@ -229,5 +233,8 @@
 // currentFailureRate returns the failure rate, decayed since the last sample so
 // that an avoided server is tried again.
 func (s *serverState) currentFailureRate(now clock.Millis) float64 {
+	if s.failureRate == 0 {
+		return 0
+	}
 	return s.failureRate * clock.Decay(now-s.failureRateAt, failureTimeConstant)
 }
--- a/steering/run.go
+++ b/steering/run.go
@@ -152,6 +152,16 @@
 	}
 }
 
+// reportDecisions counts and logs what the balancer has decided on servers.
+func (p process) reportDecisions() {
+	counts := p.Balancer.TakeCounts()
+	metrics.GetOrRegisterCounter("servers.isolated_latencies", p.Metrics).Inc(int64(counts.IsolatedLatencies))
+	metrics.GetOrRegisterCounter("servers.moved_objects", p.Metrics).Inc(int64(counts.MovedObjects))
+	for _, e := range p.Balancer.TakeEvents() {
+		p.Log.Info(e.Message, append([]any{"server", e.Server, "service", e.Service}, e.Fields...)...)
+	}
+}
+
 // refreshPeriodically updates this instance's readiness, the shares of the fleet-wide
 // limits, the outage detection and the token buckets, and prunes the connection pool,
 // until the context ends. It does so at once when entries of other instances have changed.
@@ -162,8 +172,7 @@
 		p.Membership.refresh()
 		p.ControlState.DetectOutage()
 		metrics.GetOrRegisterCounter("refusals.needless", p.Metrics).Inc(int64(p.Balancer.TakeNeedlessRefusals()))
-		counts := p.Balancer.TakeCounts()
-		metrics.GetOrRegisterCounter("servers.isolated_latencies", p.Metrics).Inc(int64(counts.IsolatedLatencies))
+		p.reportDecisions()
 		metrics.GetOrRegisterGauge("quota.part", p.Metrics).Update(int64(p.Membership.ownPart() * partUnit))
 		p.RateLimiter.SyncBuckets(p.ControlState.RateLimitedWorkspaces())
 		if time.Since(prunedAt) > pruneInterval {
