placement: start new and returning servers slowly

Cause: a server that has started, recovered, come back from an evacuation or ended its cold spell got all its objects at once, each with a cold run.

A ramp limits the requests of all instances there: half of the slots at first, more with answers in time and with time, half after a declined, lost or failed request and from the second late one in a row on. Where the server's load is not known, a part of its objects goes there, the same one at all instances. It ends in bounded time and yields where no other server would answer in time; the cold limit holds beside it.

Where the first answers take over 0.6 s the ramp ends before them, unless a request is declined.

--- a/emulator/config.go
+++ b/emulator/config.go
@@ -36,6 +36,21 @@
 		Seed          uint64       `json:"seed"`
 		Tail          Tail         `json:"tail"`
 		Spells        Spells       `json:"spells"`
+		Replacement   Replacement  `json:"replacement"`
+	}
+
+	// Replacement replaces some servers by new ones from time to time, which keep no
+	// object warm.
+	Replacement struct {
+		// Period is the time from one replacement to the next, and Every the number
+		// of servers of which one is replaced each time. Zero means none.
+		Period clock.Millis `json:"period_ms"`
+		Every  int          `json:"every"`
+		// Absence is the time from the end of the old ones to the start of the new.
+		Absence clock.Millis `json:"absence_ms"`
+		// SlowFor is how long new servers take Slowness times as long.
+		SlowFor  clock.Millis `json:"slow_for_ms"`
+		Slowness float64      `json:"slowness"`
 	}
 
 	// Tail makes some requests take longer by nature, on any server.
--- a/emulator/policy.go
+++ b/emulator/policy.go
@@ -22,6 +22,11 @@
 	// Policy creates the balancer of an entry instance.
 	Policy func(c Config, in Instance, servers []placement.Server, random *rand.Rand) Balancer
 
+	// serverLister is a balancer that can be told of replaced servers.
+	serverLister interface {
+		SetServers(now clock.Millis, servers []placement.Server)
+	}
+
 	// productBalancer adapts placement.Balancer, which the product uses.
 	productBalancer struct {
 		balancer *placement.Balancer
@@ -71,6 +76,11 @@
 	return &productBalancer{balancer: balancer, pending: make(map[choiceKey][]*placement.Choice)}
 }
 
+// SetServers implements serverLister.
+func (p *productBalancer) SetServers(now clock.Millis, servers []placement.Server) {
+	p.balancer.SetServers(now, servers)
+}
+
 // Choose implements Balancer.
 func (p *productBalancer) Choose(now clock.Millis, q placement.Query) (string, *placement.Refusal) {
 	choice, refusal := p.balancer.Choose(now, q)
--- a/emulator/server.go
+++ b/emulator/server.go
@@ -19,7 +19,10 @@
 		slowdown float64
 		spells   *spells
 		tail     Tail
-		running  int
+		// slowness is the factor by which work takes longer until slowUntil.
+		slowness  float64
+		slowUntil clock.Millis
+		running   int
 		// started counts the jobs that ran.
 		started int
 		queue   []job
@@ -84,6 +87,9 @@
 	if s.tail.Share > 0 && random.Float64() < s.tail.Share {
 		work *= s.tail.Factor
 	}
+	if e.now < s.slowUntil {
+		work *= s.slowness
+	}
 	e.schedule(clock.Millis(s.spells.duration(e.now, work)), func() {
 		s.running--
 		j.done(true, s.load(), s.reportedPace(e.now))
--- a/emulator/simulation.go
+++ b/emulator/simulation.go
@@ -23,6 +23,9 @@
 		// linkFreeAt is when each link between regions has sent what it was given.
 		linkFreeAt map[regionPair]float64
 		result     *Result
+		// listed holds the servers as listed, replaced how often some were replaced.
+		listed   []placement.Server
+		replaced int
 	}
 
 	// request is a caller's request, across its first attempt and its retry.
@@ -69,6 +72,10 @@
 			sim.balancers[in.Name] = policy(c, in, listed, sim.random)
 		}
 	}
+	sim.listed = listed
+	if c.Replacement.Period > 0 && c.Replacement.Every > 0 {
+		sim.events.schedule(c.Replacement.Period, sim.replaceServers)
+	}
 	for i := range c.RequestKinds {
 		for _, d := range c.FailureDomains {
 			sim.scheduleArrival(&c.RequestKinds[i], d)
@@ -100,6 +107,42 @@
 	return listed
 }
 
+// replaceServers replaces one in some servers and tells the balancers, if they can be told.
+// What the replaced ones run is finished.
+func (sim *simulation) replaceServers() {
+	r := sim.config.Replacement
+	phase := sim.replaced % r.Every
+	sim.replaced++
+	var left []placement.Server
+	for i, s := range sim.listed {
+		if i%r.Every != phase {
+			left = append(left, s)
+		}
+	}
+	sim.tellServers(left)
+	sim.events.schedule(r.Absence, func() {
+		for i := phase; i < len(sim.listed); i += r.Every {
+			sim.listed[i].StartUnixMs = int64(sim.events.now)
+			replaced := sim.servers[sim.listed[i].ID]
+			replaced.warm = nil
+			replaced.slowness, replaced.slowUntil = r.Slowness, sim.events.now+r.SlowFor
+		}
+		sim.tellServers(sim.listed)
+	})
+	if sim.events.now+r.Period < sim.config.Duration {
+		sim.events.schedule(max(r.Period, r.Absence), sim.replaceServers)
+	}
+}
+
+// tellServers tells the balancers which servers there are.
+func (sim *simulation) tellServers(servers []placement.Server) {
+	for _, b := range sim.balancers {
+		if lister, ok := b.(serverLister); ok {
+			lister.SetServers(sim.events.now, servers)
+		}
+	}
+}
+
 // busiestToMean returns the largest ratio, of all services, of the jobs of the busiest
 // server to the mean.
 func (sim *simulation) busiestToMean() float64 {
--- a/placement/balance.go
+++ b/placement/balance.go
@@ -125,8 +125,14 @@
 	if share >= 1 {
 		return true
 	}
-	// The hash differs from that of the ranking, whose first places have high values.
-	return float64(mixHashes(s.idHash, object)>>11)/(1<<53) < share
+	return objectPoint(s, object) < share
+}
+
+// objectPoint returns a point between zero and one for an object at a server, by which parts
+// of its objects are formed. The hash differs from that of the ranking, whose first places
+// have high values.
+func objectPoint(s *serverState, object uint64) float64 {
+	return float64(mixHashes(s.idHash, object)>>11) / (1 << 53)
 }
 
 // rebalance puts the first server that keeps the object in front of those that have too
--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -68,7 +68,10 @@
 		needlessRefusals int
 		counts           Counts
 		events           []Event
-		listReceived     bool
+		// rampHeld is set if the ramp of a server has kept it from being a candidate of the
+		// present choice, ignoreRamps while ramps are left aside.
+		rampHeld, ignoreRamps bool
+		listReceived          bool
 	}
 
 	// Fleet lists the instances that share the servers' limits.
@@ -182,37 +185,16 @@
 // upsertServer adds a server or updates its listed properties, and returns its state. A
 // server with a new start time or address starts with fresh state.
 func (b *Balancer) upsertServer(now clock.Millis, info Server) *serverState {
-	old, ok := b.servers[info.ID]
-	s := old
+	s, ok := b.servers[info.ID]
+	started := false
 	if !ok || s.info.StartUnixMs != info.StartUnixMs || s.info.Address != info.Address {
-		s = &serverState{
-			idHash:        xxhash.Sum64String(info.ID),
-			latencyFactor: 1,
-			listedAt:      now,
-			reportedAt:    now - maxReportAge,
-			lastServed:    make(map[uint64]clock.Millis),
-			domainLoad:    b.domainLoadOf(info),
-		}
 		if ok {
-			b.notices.unlist(now, old.info.incarnation())
-		}
-		if known := b.notices[info.incarnation()]; known != nil {
-			known.unlisted = false
-			s.notice = known
-		}
-		s.coldTokens.updatedAt = now
-		s.coldUntil = now + info.ColdFor
-		if !b.listReceived && b.config.AssumeWarm {
-			s.listedAt = now - assumedWarmAge
-		}
-		if b.listReceived {
-			s.coldUntil = max(s.coldUntil, now+b.limits[info.Service].ColdStart)
-		}
-		if ok && b.config.Crashes != nil {
-			b.config.Crashes.RecordDown(now, info.ID)
+			b.endServer(now, s)
 		}
+		s, started = b.startServer(now, info), b.listReceived
 		b.servers[info.ID] = s
 	}
+	coldUntil := s.coldUntil
 	if info.ColdFor > 0 {
 		s.coldUntil = max(s.coldUntil, now+info.ColdFor)
 	}
@@ -220,6 +202,41 @@
 		s.domainLoad = b.domainLoadOf(info)
 	}
 	s.info = info
+	if started || s.coldUntil > max(coldUntil, now) {
+		b.beginRamp(now, s, rampStarted)
+	}
+	return s
+}
+
+// endServer forgets a server in whose place another start of it is listed.
+func (b *Balancer) endServer(now clock.Millis, s *serverState) {
+	b.notices.unlist(now, s.info.incarnation())
+	if b.config.Crashes != nil {
+		b.config.Crashes.RecordDown(now, s.info.ID)
+	}
+}
+
+// startServer returns the state of a server that was not listed before.
+func (b *Balancer) startServer(now clock.Millis, info Server) *serverState {
+	s := &serverState{
+		idHash:        xxhash.Sum64String(info.ID),
+		latencyFactor: 1,
+		listedAt:      now,
+		reportedAt:    now - maxReportAge,
+		lastServed:    make(map[uint64]clock.Millis),
+		domainLoad:    b.domainLoadOf(info),
+	}
+	if known := b.notices[info.incarnation()]; known != nil {
+		known.unlisted = false
+		s.notice = known
+	}
+	s.coldTokens.updatedAt = now
+	if !b.listReceived && b.config.AssumeWarm {
+		s.listedAt = now - assumedWarmAge
+	}
+	if b.listReceived {
+		s.coldUntil = now + b.limits[info.Service].ColdStart
+	}
 	return s
 }
 
@@ -260,6 +277,7 @@
 		}
 		if s.evacuated {
 			s.coldUntil = max(s.coldUntil, now+b.limits[s.info.Service].ColdStart)
+			b.beginRamp(now, s, rampReturned)
 		}
 		services = services.With(s.info.Service)
 		region := b.services[s.info.Service].region(s.info.Region)
@@ -288,8 +306,9 @@
 func (b *Balancer) MarkCold(now clock.Millis, id string, coldFor clock.Millis) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if s, ok := b.servers[id]; ok {
-		s.coldUntil = max(s.coldUntil, now+coldFor)
+	if s, ok := b.servers[id]; ok && now+coldFor > s.coldUntil {
+		s.coldUntil = now + coldFor
+		b.beginRamp(now, s, rampWasCold)
 	}
 }
 
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -111,13 +111,12 @@
 func (b *Balancer) Choose(now clock.Millis, q Query) (*Choice, *Refusal) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	candidates := b.candidates(now, q)
-	best := b.pick(now, q, candidates)
+	candidates, best, inTime := b.find(now, q)
 	if best == nil {
 		return nil, b.refuseWithoutServer(now, q)
 	}
 	s := best.state
-	if !b.isInTime(now, q, best) {
+	if !inTime {
 		b.recordRefusal(now, q, candidates[0].state.info.Region)
 		b.recordOverload(now, q.Service)
 		excess := best.latency - min(q.TimeLeft, q.LatencyLimit)
@@ -155,6 +154,25 @@
 	return choice, nil
 }
 
+// find returns the candidates for a request, the one that is picked, and whether that is
+// worth a try. If it is not, the ramps of servers are left aside.
+func (b *Balancer) find(now clock.Millis, q Query) (candidates []candidate, best *candidate, inTime bool) {
+	b.rampHeld, b.ignoreRamps = false, false
+	for {
+		candidates = b.candidates(now, q)
+		best = b.pick(now, q, candidates)
+		inTime = best != nil && b.isInTime(now, q, best)
+		if inTime || !b.rampHeld || b.ignoreRamps {
+			break
+		}
+		b.ignoreRamps = true
+	}
+	if inTime && b.ignoreRamps {
+		b.counts.RampYields++
+	}
+	return candidates, best, inTime
+}
+
 // isInTime reports whether a request is worth sending to a candidate. One that need not
 // wait is refused only if the learned latencies exceed its time. They are learned from
 // requests that are sent, so one in each probeInterval is sent nevertheless.
@@ -188,11 +206,15 @@
 	return b.preferIdle(now, q, b.fastest(now, q, candidates, sameRegion), sameRegion)
 }
 
-// candidates returns the servers that may serve an object. Servers that failed
-// recently are included only if there are no others, and never during a
-// backoff.
+// candidates returns the servers that may serve an object. Servers whose ramp has no room
+// are included only if there are no others. So are servers that failed recently, after
+// these, and never during a backoff.
 func (b *Balancer) candidates(now clock.Millis, q Query) []candidate {
 	candidates := b.rankCandidates(now, q, true)
+	if len(candidates) == 0 && b.rampHeld {
+		b.ignoreRamps = true
+		candidates = b.rankCandidates(now, q, true)
+	}
 	if len(candidates) == 0 {
 		candidates = b.rankCandidates(now, q, false)
 	}
@@ -240,6 +262,9 @@
 	if s.isCold(now) && !s.coldTokens.has(now, b.coldRate(s)) {
 		return false
 	}
+	if b.holdsRamp(now, q.Object, s) {
+		return false
+	}
 	if !strict {
 		return s.consecutiveFailures == 0 || now >= s.backoffUntil
 	}
--- a/placement/counts.go
+++ b/placement/counts.go
@@ -38,6 +38,12 @@
 	// MovedObjects are the requests whose object is not kept by the server that ranks
 	// first for it, since that has more than its part.
 	MovedObjects int
+	// Ramps are the slow starts of servers, RampSetbacks the times at which the limit of
+	// one shrank, and RampYields the requests for which the limits were left aside, since
+	// no other server would have answered in time.
+	Ramps        int
+	RampSetbacks int
+	RampYields   int
 }
 
 // TakeCounts returns the counts since the last call.
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -117,8 +117,12 @@
 	if result.HasPace {
 		s.recordPace(now, result.Pace)
 	}
+	b.recordRamp(now, c, result)
 	switch result.Outcome {
 	case Answered:
+		if s.consecutiveFailures > 0 {
+			b.beginRamp(now, s, rampRecovered)
+		}
 		s.recordSuccess(now)
 		b.learn(c, now-c.sentAt, c.paceDuring(result))
 	case Failed:
--- a/placement/server.go
+++ b/placement/server.go
@@ -50,6 +50,7 @@
 
 		coldUntil  clock.Millis
 		coldTokens tokenBucket
+		ramp       ramp
 
 		// backoffUntil is when a server may be tried again after consecutive
 		// failures.
--- a/steering/run.go
+++ b/steering/run.go
@@ -157,6 +157,9 @@
 	counts := p.Balancer.TakeCounts()
 	metrics.GetOrRegisterCounter("servers.isolated_latencies", p.Metrics).Inc(int64(counts.IsolatedLatencies))
 	metrics.GetOrRegisterCounter("servers.moved_objects", p.Metrics).Inc(int64(counts.MovedObjects))
+	metrics.GetOrRegisterCounter("servers.ramps", p.Metrics).Inc(int64(counts.Ramps))
+	metrics.GetOrRegisterCounter("servers.ramp_setbacks", p.Metrics).Inc(int64(counts.RampSetbacks))
+	metrics.GetOrRegisterCounter("servers.ramp_yields", p.Metrics).Inc(int64(counts.RampYields))
 	for _, e := range p.Balancer.TakeEvents() {
 		p.Log.Info(e.Message, append([]any{"server", e.Server, "service", e.Service}, e.Fields...)...)
 	}
