placement: take the answer of a server that is no longer listed

Cause: since busy servers give objects away, the answer of one that was removed or replaced while it held less than 0.8 of its objects looked up the mean of a group that the server had left, and ended the process. TestAnswerOfRemovedServer panics without the change.

--- a/placement/balance.go
+++ b/placement/balance.go
@@ -102,9 +102,11 @@
 	return 1 + (b.share-1)*clock.Decay(max(0, now-b.shareAt-shareHold), shareTimeConstant)
 }
 
-// logShare records for the log that a server has lost a part of its objects.
+// logShare records for the log that a server has lost a part of its objects. A server that
+// is no longer listed, but answers what it got before, has no group.
 func (b *Balancer) logShare(s *serverState) {
 	switch {
+	case s.group == nil:
 	case s.balance.share == 1:
 		s.balance.logged = false
 	case s.balance.share > 0 && s.balance.share <= loggedShare && !s.balance.logged:
--- a/placement/balance_test.go
+++ b/placement/balance_test.go
@@ -126,3 +126,27 @@
 		t.Errorf("%d of 2000 requests go to the server that claims to be full, %d to the one that claims to be empty", counts["a1-0"], counts["a1-1"])
 	}
 }
+
+// TestAnswerOfRemovedServer has a server with few of its objects left answer after it was
+// removed from the list, and after another start of it took its place.
+func TestAnswerOfRemovedServer(t *testing.T) {
+	for name, remove := range map[string]func(b *Balancer){
+		"removed":  func(b *Balancer) { b.UpdateServers(2000, nil, []string{"a1-0"}) },
+		"replaced": func(b *Balancer) { b.replaceAll(2000, testServers(1)[:1]) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newTestBalancerOf(testServers(1)[:1])
+			b.warmUp(t, 7)
+			choice, refusal := b.Choose(1000, testQuery(7))
+			if refusal != nil {
+				t.Fatal(refusal.Reason)
+			}
+			choice.state.balance.share, choice.state.balance.shareAt = minShare, 1000
+			remove(b)
+			b.Done(2100, choice, Result{Outcome: Answered, HasLoad: true, Load: testSlots, Pace: 2, HasPace: true})
+			if choice.state.group != nil {
+				t.Error("the server is still in a group")
+			}
+		})
+	}
+}
