placement: bound a reported load in the mean of a region

Cause: a server that reports 65,536 requests would raise the mean so far that no other server counts as busy. Its load counts as three times its slots at most. TestAnyOrderOfEvents mixes requests, any reports, changes of the list, evacuations and cold spells, and checks that no mean drifts from its servers and that slow starts and shares of objects end in calm.

Tests of placement pass with -race.

--- a/placement/balance.go
+++ b/placement/balance.go
@@ -28,6 +28,8 @@
 const (
 	// usageTimeConstant averages over several reports and slow spells.
 	usageTimeConstant = 8 * clock.Second
+	// maxUsage bounds the effect of a server that reports a huge load on the mean.
+	maxUsage = 3.0
 	// maxRelativeUsage is the usage, in relation to the mean, above which the share
 	// shrinks. Below the mean it grows again.
 	maxRelativeUsage = 1.08
@@ -56,7 +58,7 @@
 		return
 	}
 	b := &s.balance
-	usage := float64(load) / float64(max(s.info.Slots, 1))
+	usage := min(float64(load)/float64(max(s.info.Slots, 1)), maxUsage)
 	mean := s.group.usage.mean()
 	share := b.current(now)
 	if b.usageAt == 0 {
