http1: take only three digits from 100 to 599 for a status

Cause: fasthttp reads status 000 as 200, because zero is its default. A failing server's response with status 000 reached the caller as 200 with the server's signature; 600 to 999 passed unchanged; 000 to 099 counted as interim, so that what followed was taken for the response.

The reader of both processes looks at the status line before fasthttp does, and rejects a head of HTTP/1.0 with a transfer coding, which fasthttp ignores. Of the same class: a response without an id named a request without one; a load report of any status, or without slots, made a server count as busy.

Weighed: net/http for these clients, which keeps zero (other time-outs and pools); reading the status from the parsed head (fasthttp hides it).

Failing run on the code before (go test ./origin ./backend ./steering ./platform ./caller -run 'TestStatus|InvalidStatus|EmptyID|LoadReport|StoreWithoutStatus| NeedsStatus'), abridged:

origin TestStatus/zero: got status 200, error <nil>, want 0 TestStatus/600, 700, 999: got status 600, 700, 999, error <nil>, want 0 TestInvalidStatusIsNotInterim: after 099, 001: got status 200, error <nil> TestEmptyIDNamesNoRequest: a response that names no request was taken backend TestStatus/000: got outcome OUTCOME_DONE with status 200, want 0 TestStatus/600, 700, 999: OUTCOME_DONE with status 600, 700, 999, want 0 TestLoadReportNeedsStatusAndSlots/a_failure, no_status, no_slots: the server counts as busy: true, want false steering TestInvalidStatusIsNotDelivered/000: got 200, signed true, body "body" 600, 700, 999: got 600, 700, 999, signed true, body "body" platform TestStoreWithoutStatus/000: got status 200, error <nil> caller TestDecodeResponseNeedsStatus: status 000, 099, 600, 999: error <nil>

"0", "199" without a final response, "2000", "+200", "1e2" and "099" alone were errors before and are.

--- a/backend/probe.go
+++ b/backend/probe.go
@@ -46,7 +46,7 @@
 	case askedAt > s.drainingSince:
 		s.reportedDraining = false
 	}
-	s.reportedBusy = report.GetInFlight()*100 >= report.GetSlots()*busyPercent
+	s.reportedBusy = report.GetSlots() > 0 && report.GetInFlight()*100 >= report.GetSlots()*busyPercent
 	p.dispatch(p.service(s.info().GetService()))
 }
 
@@ -65,7 +65,7 @@
 	request.SetRequestURI("http://" + s.info().GetAddress() + loadPath)
 	request.SetConnectionClose()
 	err = c.exchange(request, response, exchangeOptions{requestID: "probe", deadline: deadline, timeLeft: probeTimeout})
-	if err != nil {
+	if err != nil || response.StatusCode() != fasthttp.StatusOK {
 		return nil, false
 	}
 	report := &wire.LoadReport{}
--- /dev/null
+++ b/backend/status_test.go
@@ -0,0 +1,66 @@
+package backend
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"testing"
+
+	"github.com/bulrushferry/bulrushferry/wire"
+	"github.com/valyala/fasthttp"
+)
+
+// TestStatus guards against responses without a valid status that a caller gets as done:
+// 000 was passed on as 200, and 600 to 999 unchanged.
+func TestStatus(t *testing.T) {
+	cases := map[string]int{
+		"000": 0, "600": 0, "700": 0, "999": 0, "0": 0, "099": 0, "199": 0, "2000": 0, "+200": 0, "1e2": 0, "": 0,
+		"200": 200, "404": 404, "599": 599,
+	}
+	for status, want := range cases {
+		t.Run("status "+status, func(t *testing.T) {
+			address := serve(t, func(c net.Conn, request *fasthttp.Request) {
+				_, _ = fmt.Fprintf(c, "HTTP/1.1 %s Said\r\nContent-Length: 2\r\n%s: %s\r\n\r\nok", status, RequestIDHeader, request.Header.Peek(RequestIDHeader))
+			})
+			pool := newTestPool(address)
+			response := &fasthttp.Response{}
+			result := pool.Run(context.Background(), &Call{
+				ID: "id", Service: "s", Workspace: "w", Once: true, Weight: 1, Deadline: pool.config.Clock.Now() + 1000,
+				Fingerprint: []byte("f"), Request: testRequestTo("http://s/"), Response: response, BeforeSend: func() error { return nil },
+			})
+			done := result.Outcome == wire.Outcome_OUTCOME_DONE
+			if done != (want > 0) || (done && response.StatusCode() != want) {
+				t.Errorf("got outcome %v with status %d, want %d", result.Outcome, response.StatusCode(), want)
+			}
+		})
+	}
+}
+
+// TestLoadReportNeedsStatusAndSlots guards against a load report that is no success, or
+// states no slots, and makes a server look busy.
+func TestLoadReportNeedsStatusAndSlots(t *testing.T) {
+	cases := map[string]struct {
+		head, body string
+		busy       bool
+	}{
+		"busy":      {"HTTP/1.1 200 OK", `{"slots":4,"in_flight":4}`, true},
+		"free":      {"HTTP/1.1 200 OK", `{"slots":4,"in_flight":1}`, false},
+		"a failure": {"HTTP/1.1 500 No", `{"slots":4,"in_flight":4}`, false},
+		"no status": {"HTTP/1.1 000 No", `{"slots":4,"in_flight":4}`, false},
+		"no slots":  {"HTTP/1.1 200 OK", `{}`, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			address := serve(t, func(conn net.Conn, _ *fasthttp.Request) {
+				_, _ = io.WriteString(conn, fmt.Sprintf("%s\r\nContent-Length: %d\r\n\r\n%s", c.head, len(c.body), c.body))
+			})
+			pool := newTestPool(address)
+			for _, s := range pool.servers {
+				if pool.probe(s); s.reportedBusy != c.busy {
+					t.Errorf("the server counts as busy: %v, want %v", s.reportedBusy, c.busy)
+				}
+			}
+		})
+	}
+}
--- a/bench/baseline.go
+++ b/bench/baseline.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/bulrushferry/bulrushferry/http1"
 	"github.com/bulrushferry/bulrushferry/load"
 	"github.com/bulrushferry/bulrushferry/wire"
 	"github.com/valyala/fasthttp"
@@ -129,7 +130,7 @@
 	b.httpClient = &fasthttp.Client{
 		MaxIdemponentCallAttempts: 1,
 		MaxConnsPerHost:           1000,
-		Dial:                      func(address string) (net.Conn, error) { return dialer.Dial("tcp", address) },
+		Dial:                      http1.GuardStatus(func(address string) (net.Conn, error) { return dialer.Dial("tcp", address) }),
 	}
 	for _, w := range b.deployment.rules.GetWorkspaces() {
 		share := 1 / float64(len(b.deployment.instances))
--- a/bench/deployment.go
+++ b/bench/deployment.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"github.com/bulrushferry/bulrushferry/http1"
 	"github.com/bulrushferry/bulrushferry/load"
 	"github.com/bulrushferry/bulrushferry/rules"
 	"github.com/bulrushferry/bulrushferry/wire"
@@ -20,6 +21,9 @@
 	"google.golang.org/protobuf/encoding/protojson"
 )
 
+// standinClient calls the standin program.
+var standinClient = &fasthttp.Client{Dial: http1.GuardStatus(fasthttp.Dial)}
+
 // deployment is a set of processes: the standin program and the entry instances.
 type deployment struct {
 	// dir holds the files of the deployment, binDir the programs.
@@ -258,10 +262,10 @@
 	req.SetRequestURI("http://" + d.standin.GetPlatformAddress() + path)
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.SetBody(body)
-	err := fasthttp.DoTimeout(req, resp, standinTimeout)
+	err := standinClient.DoTimeout(req, resp, standinTimeout)
 	if errors.Is(err, fasthttp.ErrConnectionClosed) {
 		// The pooled connection belonged to a standin process that has exited.
-		err = fasthttp.DoTimeout(req, resp, standinTimeout)
+		err = standinClient.DoTimeout(req, resp, standinTimeout)
 	}
 	if err != nil {
 		return nil, err
--- a/caller/codec.go
+++ b/caller/codec.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 
+	"github.com/bulrushferry/bulrushferry/http1"
 	"github.com/valyala/fasthttp"
 )
 
@@ -57,7 +58,7 @@
 // decodeResponse parses a response that encodeResponse has encoded, here or at a peer.
 func decodeResponse(raw []byte) (*fasthttp.Response, error) {
 	response := fasthttp.AcquireResponse()
-	if err := response.Read(bufio.NewReader(bytes.NewReader(raw))); err != nil {
+	if err := http1.ReadResponse(http1.NewResponseReader(bytes.NewReader(raw)), response, false); err != nil {
 		fasthttp.ReleaseResponse(response)
 		return nil, err
 	}
--- a/http1/response.go
+++ b/http1/response.go
@@ -61,6 +61,12 @@
 	// ErrTooLarge means that the response exceeds a limit. The connection must be closed.
 	ErrTooLarge = errorSpace.NewType("too_large")
 
+	// ErrFraming means that the end of the response cannot be known.
+	ErrFraming = errorSpace.NewType("framing")
+
+	oldVersion       = []byte("HTTP/1.0")
+	transferEncoding = []byte(fasthttp.HeaderTransferEncoding)
+
 	scratch = sync.Pool{New: func() any { return new([scratchBytes]byte) }}
 )
 
@@ -89,7 +95,59 @@
 
 // readHead reads one head. Its buffer grows only for a head that needs it.
 func (r *ResponseReader) readHead(response *fasthttp.Response) error {
-	return r.withLargeBuffer("head", func() error { return response.Header.Read(r.buffer) })
+	return r.withLargeBuffer("head", func() error {
+		if err := r.checkHead(); err != nil {
+			return err
+		}
+		return response.Header.Read(r.buffer)
+	})
+}
+
+// checkHead returns an error for a head that fasthttp would misread: one without a valid
+// status, and one of HTTP/1.0 with a transfer coding, which it ignores. It reads up to the
+// end of the status line, or of the head for HTTP/1.0, and leaves all bytes in the buffer. A
+// head that cannot be read so far is left to fasthttp.
+func (r *ResponseReader) checkHead() error {
+	for wanted := 1; wanted <= r.buffer.Size(); {
+		_, err := r.buffer.Peek(wanted)
+		head, _ := r.buffer.Peek(r.buffer.Buffered())
+		line, rest, whole := bytes.Cut(bytes.TrimLeft(head, "\r\n"), []byte("\n"))
+		if whole {
+			line = bytes.TrimRight(line, "\r")
+			if err := checkStatus(line); err != nil || !bytes.HasPrefix(line, oldVersion) {
+				return err
+			}
+			if hasCoding, known := findTransferCoding(rest); hasCoding {
+				return ErrFraming.New("a response of HTTP/1.0 has a transfer coding")
+			} else if known {
+				return nil
+			}
+		}
+		if err != nil {
+			return nil
+		}
+		wanted = len(head) + 1
+	}
+	return nil
+}
+
+// findTransferCoding reports whether a head, without its status line, has a transfer coding,
+// and whether that is known: the head is whole or has one.
+func findTransferCoding(fields []byte) (hasCoding, known bool) {
+	for {
+		line, rest, whole := bytes.Cut(fields, []byte("\n"))
+		if !whole {
+			return false, false
+		}
+		if len(bytes.TrimRight(line, "\r")) == 0 {
+			return false, true
+		}
+		name, _, _ := bytes.Cut(line, []byte(":"))
+		if bytes.EqualFold(bytes.TrimSpace(name), transferEncoding) {
+			return true, true
+		}
+		fields = rest
+	}
 }
 
 // withLargeBuffer calls a function that parses the buffered bytes, and calls it again
--- a/load/client.go
+++ b/load/client.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/bulrushferry/bulrushferry/http1"
 	"github.com/bulrushferry/bulrushferry/wire"
 	"github.com/valyala/fasthttp"
 	"google.golang.org/protobuf/encoding/protojson"
@@ -60,7 +61,7 @@
 			MaxConnsPerHost:           maxConnsPerHost,
 			MaxIdemponentCallAttempts: 1,
 			RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-			Dial:                      func(address string) (net.Conn, error) { return dialer.Dial("tcp", address) },
+			Dial:                      http1.GuardStatus(func(address string) (net.Conn, error) { return dialer.Dial("tcp", address) }),
 		},
 	}
 }
--- a/operator/client.go
+++ b/operator/client.go
@@ -4,6 +4,7 @@
 	"net/url"
 	"time"
 
+	"github.com/bulrushferry/bulrushferry/http1"
 	"github.com/bulrushferry/bulrushferry/wire"
 	"github.com/joomcode/errorx"
 	"github.com/valyala/fasthttp"
@@ -42,7 +43,7 @@
 
 // NewClient returns a client that does not retry a request to the same instance.
 func NewClient(config ClientConfig) *Client {
-	return &Client{config: config, http: &fasthttp.Client{MaxIdemponentCallAttempts: 1}}
+	return &Client{config: config, http: &fasthttp.Client{MaxIdemponentCallAttempts: 1, Dial: http1.GuardStatus(fasthttp.Dial)}}
 }
 
 // SubmitChange submits a change to one instance after another until one accepts it or
--- a/origin/conn.go
+++ b/origin/conn.go
@@ -116,7 +116,7 @@
 // signature is required only of status codes below 300, and only a response that declines
 // the request need not name it, if nothing else can have been declined on the connection.
 func (c *conn) checkResponse(names HeaderNames, id string, response *fasthttp.Response) error {
-	named := string(response.Header.Peek(names.RequestID)) == id
+	named := id != "" && string(response.Header.Peek(names.RequestID)) == id
 	if isDeclined(names, response) && (named || c.isFirstExchange()) {
 		return nil
 	}
--- a/scenario/fleet_test.go
+++ b/scenario/fleet_test.go
@@ -17,6 +17,7 @@
 	"testing"
 	"time"
 
+	"github.com/bulrushferry/bulrushferry/http1"
 	"github.com/bulrushferry/bulrushferry/rules"
 	"github.com/bulrushferry/bulrushferry/wire"
 	"github.com/valyala/fasthttp"
@@ -303,12 +304,15 @@
 	}
 }
 
+// httpClient rejects responses without a valid status, which fasthttp may read as 200.
+var httpClient = &fasthttp.Client{Dial: http1.GuardStatus(fasthttp.Dial)}
+
 func post(url string, body []byte) (int, []byte, error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	req.SetRequestURI(url)
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.SetBody(body)
-	err := fasthttp.DoTimeout(req, resp, 5*time.Second)
+	err := httpClient.DoTimeout(req, resp, 5*time.Second)
 	return resp.StatusCode(), resp.Body(), err
 }
 
@@ -337,10 +341,10 @@
 		req.Header.Set("Idempotency-Key", action)
 	}
 	req.SetBodyString(body)
-	err := fasthttp.DoTimeout(req, resp, requestTimeout)
+	err := httpClient.DoTimeout(req, resp, requestTimeout)
 	if errors.Is(err, fasthttp.ErrConnectionClosed) {
 		// The pooled connection belonged to a process that has exited.
-		err = fasthttp.DoTimeout(req, resp, requestTimeout)
+		err = httpClient.DoTimeout(req, resp, requestTimeout)
 	}
 	if err != nil {
 		return "", 0, err.Error()
--- a/soak/load_test.go
+++ b/soak/load_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -12,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/bulrushferry/bulrushferry/http1"
 	"github.com/valyala/fasthttp"
 )
 
@@ -98,7 +98,7 @@
 
 // sendOn sends requests on a connection until it fails or the instance closes it.
 func (g *loadGenerator) sendOn(ctx context.Context, conn net.Conn, workspace, prefix string, random *rand.Rand) {
-	reader := bufio.NewReader(conn)
+	reader := http1.NewResponseReader(conn)
 	for call := 0; call < requestsPerConn && ctx.Err() == nil; call++ {
 		r := result{id: fmt.Sprintf("%s-%d", prefix, call), unsafe: random.IntN(2) == 0, sentAt: time.Now()}
 		path := "/safe/"
@@ -111,7 +111,7 @@
 			path, call, r.id, requestDeadline.Milliseconds(), workspace, random.IntN(30), viaHeader, conn.RemoteAddr())
 		var response fasthttp.Response
 		if err == nil {
-			err = response.Read(reader)
+			err = http1.ReadResponse(reader, &response, false)
 		}
 		if err == nil {
 			r.status, r.body = response.StatusCode(), string(response.Body())
--- a/soak/shutdown_test.go
+++ b/soak/shutdown_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"bufio"
 	"fmt"
 	"net"
 	"sync"
@@ -9,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/bulrushferry/bulrushferry/http1"
 	"github.com/valyala/fasthttp"
 )
 
@@ -39,7 +39,7 @@
 			_, _ = fmt.Fprintf(conn, "GET /safe/1 HTTP/1.1\r\nHost: a.example\r\nX-Bulrushferry-Request-Id: big-1\r\n"+
 				"X-Bulrushferry-Deadline-Ms: 5000\r\nX-Bulrushferry-Credential: key-big\r\n\r\n")
 			var response fasthttp.Response
-			if err := response.Read(bufio.NewReader(conn)); err != nil {
+			if err := http1.ReadResponse(http1.NewResponseReader(conn), &response, false); err != nil {
 				t.Fatalf("no response: %v", err)
 			}
 			if response.StatusCode() != c.want {
@@ -71,7 +71,7 @@
 		_, _ = fmt.Fprintf(conn, "POST /unsafe/1 HTTP/1.1\r\nHost: a.example\r\nX-Bulrushferry-Request-Id: %s\r\n"+
 			"X-Bulrushferry-Deadline-Ms: 5000\r\nX-Bulrushferry-Credential: key-big\r\nContent-Length: 0\r\n\r\n", id)
 		var response fasthttp.Response
-		if err := response.Read(bufio.NewReader(conn)); err != nil {
+		if err := http1.ReadResponse(http1.NewResponseReader(conn), &response, false); err != nil {
 			return 0, err
 		}
 		return response.StatusCode(), nil
--- a/tableservice/client.go
+++ b/tableservice/client.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/bulrushferry/bulrushferry/http1"
 	"github.com/bulrushferry/bulrushferry/wire"
 	"github.com/valyala/fasthttp"
 	"google.golang.org/protobuf/proto"
@@ -47,7 +48,7 @@
 		config: config,
 		http: &fasthttp.HostClient{
 			Addr:                config.Address,
-			Dial:                dialFrom(config.Source),
+			Dial:                http1.GuardStatus(dialFrom(config.Source)),
 			MaxConns:            maxConnections,
 			MaxIdleConnDuration: maxIdleDuration,
 			RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) {
