--- a/tokens/leases.go
+++ b/tokens/leases.go
@@ -265,9 +265,8 @@
 		l.ledger.Record(now, fleet.ProcessID(info.GetIncarnation()), restartNumber, lease, lease.Hash(), until)
 	}
 	l.lessor.HoldUntil(read.Latest(restart.First + fleet.RestartTerm))
-	if l.propose(now, owners) {
-		l.publish(now, true)
-	}
+	l.propose(now, owners)
+	l.publish(now, true)
 	l.stableSince, l.startedAt = min(read.Latest(restart.Last), now), now
 	for workspace, tokens := range l.workspaces {
 		limit, _ := l.config.Limit(workspace)
