--- a/tokens/limiter_test.go
+++ b/tokens/limiter_test.go
@@ -232,3 +232,40 @@
 		t.Errorf("%.1f tokens were granted after 1 s, want the limit of 100", got)
 	}
 }
+
+// TestStartTogether checks that the proof of a restart has the owner use all shares at once, with
+// the time since the last start credited, that a refresh just before makes no difference, and
+// that only its own share is left once the proof has run out and nobody has stated a lease.
+func TestStartTogether(t *testing.T) {
+	for name, refresh := range map[string]bool{"at once": false, "after a refresh": true} {
+		t.Run(name, func(t *testing.T) {
+			manual := &clock.Manual{}
+			manual.Set(10 * clock.Second)
+			_, _, network := newTestLimiters(manual)
+			limiter := network.owner
+			view := limiter.config.Fleet.(*fakeFleet)
+			list := []*wire.FleetInstance{{Instance: "owner", Incarnation: "1", PeerAddress: "owner", LinkMbitPerS: 9}, {Instance: "other", Incarnation: "2"}}
+			limiter.config.Process = fleet.ProcessID("1")
+			limiter.lessor, limiter.ledger = quota.NewLessor(limiter.config.Process), quota.NewLedger(limiter.config.Process)
+			view.owners = PickOwners(list)
+			workspace := "w"
+			for n := 0; chooseOwner(view.owners, quota.Key(workspace)).Instance != "owner"; n++ {
+				workspace += "w"
+			}
+			if refresh {
+				limiter.Refresh()
+			}
+			restart := &fleet.Restart{Instances: list, First: 70_000, Last: 70_200}
+			limiter.StartTogether(restart, fleet.StoreRead{SentAt: manual.Now() - 20, ReceivedAt: manual.Now(), Now: 70_500})
+			tokens, fraction := limiter.tokensOf(manual.Now(), workspace).bucket.State(manual.Now())
+			if fraction != 1 || tokens < 29 || tokens > 31 {
+				t.Errorf("%.1f tokens and a fraction of %v 300 ms after the last start, want 30 and 1", tokens, fraction)
+			}
+			manual.Advance(fleet.RestartTerm)
+			limiter.Refresh()
+			if _, fraction := limiter.tokensOf(manual.Now(), workspace).bucket.State(manual.Now()); fraction != 0.5 {
+				t.Errorf("a fraction of %v after the proof has run out, want this instance's 0.5", fraction)
+			}
+		})
+	}
+}
