Test what clients that nobody controls do to the processes

Cause: clients with many large, chunked, unfinished or excessive bodies ended a process for its memory. No test started a process and sent it such bodies.

--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -33,6 +33,13 @@
 		noAffinity bool
 		// serviceTime, timeout and grace override the defaults unless zero.
 		serviceTime, timeout, grace time.Duration
+		// memoryMB and maxBodyBytes override the default limits unless zero. maxFDs is
+		// left out of the settings if it is zero.
+		memoryMB, maxBodyBytes, maxFDs int
+		// responseBytes is the least size of the servers' responses.
+		responseBytes int
+		// deafServers is how many of the servers never read what they are sent.
+		deafServers int
 	}
 
 	// domain is a failure domain and its region.
@@ -62,6 +69,7 @@
 	instance struct {
 		name, region, domain                       string
 		callerAddress, lookupAddress, settingsFile string
+		readyAddress, metricsAddress               string
 		proxy                                      *proxy
 		logFile                                    string
 
@@ -129,9 +137,12 @@
 	for i := range spec.servers {
 		d := spec.domains[i%len(spec.domains)]
 		b := startServer(t, fmt.Sprintf("i-%d", i), d.name, f.requestLog)
+		b.mu.Lock()
 		b.hidesLoad, b.storeAvailableTime = spec.hidesLoad, f.store.availableTime
 		b.notices = newServerNotices(f.disturbedSince)
 		b.serviceTime = cmp.Or(spec.serviceTime, defaultServiceTime)
+		b.responseBytes, b.isDeaf = spec.responseBytes, i < spec.deafServers
+		b.mu.Unlock()
 		f.servers = append(f.servers, b)
 		f.store.put("servers", b.id, b.row("ready", 1))
 	}
@@ -169,7 +180,7 @@
 	f.version++
 	resources := []map[string]any{
 		resource("services", "desk", map[string]any{"healthPath": "/health", "maxConns": 300, "coldStart": "1s", "coldPerS": 50.0}),
-		resource("limits", "", map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeout": "3000ms", "idleTimeout": "15000ms"}),
+		resource("limits", "", map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": cmp.Or(f.deployment.maxBodyBytes, 1<<20), "headerTimeout": "3000ms", "idleTimeout": "15000ms"}),
 	}
 	for name, kind := range map[string]string{"/safe/": "safe", "/unsafe/": "unsafe"} {
 		resources = append(resources, resource("routes", "r-"+kind, map[string]any{
@@ -213,7 +224,7 @@
 	}
 	in := &instance{
 		name: fmt.Sprintf("front-%d", i), region: region, domain: domain, proxy: p,
-		callerAddress: port(), lookupAddress: port(),
+		callerAddress: port(), lookupAddress: port(), readyAddress: port(), metricsAddress: ip + ":9464",
 		settingsFile: filepath.Join(f.t.TempDir(), "node.json"),
 		logFile:      filepath.Join(f.t.TempDir(), "log.json"),
 	}
@@ -221,10 +232,14 @@
 	for _, d := range f.deployment.domains {
 		regions[d.name] = d.region
 	}
+	limits := map[string]any{"memoryMb": cmp.Or(f.deployment.memoryMB, 284)}
+	if f.deployment.maxFDs > 0 {
+		limits["maxFds"] = f.deployment.maxFDs
+	}
 	raw, err := json.Marshal(map[string]any{
 		"nodeName": in.name, "ip": ip, "zone": domain, "region": region, "zones": regions,
-		"listen":    map[string]string{"front": in.callerAddress, "ready": port(), "directory": in.lookupAddress, "control": port()},
-		"bootstrap": true, "internalPortRange": []int{7220, 7235}, "limits": map[string]any{"memoryMb": 284},
+		"listen":    map[string]string{"front": in.callerAddress, "ready": in.readyAddress, "directory": in.lookupAddress, "control": port()},
+		"bootstrap": true, "internalPortRange": []int{7220, 7235}, "limits": limits,
 		"bounds":   []string{"grace=" + formatDuration(cmp.Or(f.deployment.grace, shutdownGrace)), "revoke=4s"},
 		"platform": map[string]any{"address": proxyAddress, "form": "table"},
 	})
--- a/soak/server_test.go
+++ b/soak/server_test.go
@@ -39,6 +39,10 @@
 		hidesLoad bool
 		// serviceTime is how long a request runs.
 		serviceTime time.Duration
+		// responseBytes is the least size of a response's body.
+		responseBytes int
+		// isDeaf makes the server read nothing of what it is sent.
+		isDeaf bool
 		// storeAvailableTime returns how long the store was available between two times.
 		storeAvailableTime func(from, to time.Time) time.Duration
 
@@ -135,6 +139,12 @@
 		b.mu.Unlock()
 	}()
 	reader := bufio.NewReader(c)
+	for b.isDeaf {
+		time.Sleep(time.Second)
+		if _, err := c.Write(nil); err != nil {
+			return
+		}
+	}
 	for {
 		var request fasthttp.Request
 		if err := request.Read(reader); err != nil {
@@ -175,6 +185,7 @@
 	b.requestLog.record(id, string(request.Header.Peek("X-Bulrushferry-Tenant")), len(request.Header.Peek("X-Bulrushferry-Credential")) > 0, late)
 	time.Sleep(b.serviceTime)
 	body := "ran " + id
+	body += strings.Repeat(" ", max(0, b.responseBytes-len(body)))
 	load := notice
 	if !b.hidesLoad {
 		load += fmt.Sprintf("X-Bulrushferry-Server-Load: %d,0,%d\r\n", len(b.slots), serverSlots)
