--- a/backend/call.go
+++ b/backend/call.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/bulrushferry/bulrushferry/clock"
-	"github.com/bulrushferry/bulrushferry/http1"
+	"github.com/bulrushferry/bulrushferry/memory"
 	"github.com/bulrushferry/bulrushferry/values"
 	"github.com/bulrushferry/bulrushferry/wire"
 	"github.com/joomcode/errorx"
@@ -36,7 +36,7 @@
 		BeforeSend func() error
 
 		// hold is the memory that the body of Response takes during the call.
-		hold *http1.Hold
+		hold *memory.Hold
 		// abandoned is set once the call no longer waits for a slot. The pool's
 		// lock guards it.
 		abandoned bool
@@ -78,7 +78,7 @@
 // unless that server declined it.
 func (p *Pool) Run(ctx context.Context, call *Call) Result {
 	p.budgets.Deposit(call.Workspace)
-	call.hold = p.config.Memory.Hold()
+	call.hold = p.config.Memory.Hold(memory.Responses)
 	defer call.hold.Release()
 	if p.quarantine.Contains(call.Fingerprint) {
 		return notRun(ErrQuarantined.New("the request has crashed backend servers"))
--- a/backend/conn.go
+++ b/backend/conn.go
@@ -9,6 +9,7 @@
 
 	"github.com/bulrushferry/bulrushferry/clock"
 	"github.com/bulrushferry/bulrushferry/http1"
+	"github.com/bulrushferry/bulrushferry/memory"
 	"github.com/bulrushferry/bulrushferry/socket"
 	"github.com/valyala/fasthttp"
 )
@@ -34,7 +35,7 @@
 		// timeLeft is the time until the deadline, as sent to the server.
 		timeLeft clock.Millis
 		// hold is the memory that the response's body takes.
-		hold *http1.Hold
+		hold *memory.Hold
 	}
 )
 
@@ -98,7 +99,7 @@
 
 // readResponse reads the header and the whole body. It rejects a body without a
 // length, since a truncated one could not be told from a complete one.
-func (c *conn) readResponse(response *fasthttp.Response, hold *http1.Hold) error {
+func (c *conn) readResponse(response *fasthttp.Response, hold *memory.Hold) error {
 	if err := c.reader.ReadHead(response); err != nil {
 		return c.wrapReadError(err)
 	}
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -8,7 +8,7 @@
 	"sync"
 
 	"github.com/bulrushferry/bulrushferry/clock"
-	"github.com/bulrushferry/bulrushferry/http1"
+	"github.com/bulrushferry/bulrushferry/memory"
 	"github.com/bulrushferry/bulrushferry/values"
 	"github.com/bulrushferry/bulrushferry/wire"
 	"github.com/hashicorp/go-hclog"
@@ -32,7 +32,7 @@
 		// It blocks until they have acknowledged it, or for a short time at most.
 		BroadcastSuspect func(*wire.Suspect)
 		// Memory limits what responses hold while they are read; nil means no limit.
-		Memory *http1.Memory
+		Memory *memory.Account
 		// AssertInvariants makes the pool panic when an invariant does not hold.
 		AssertInvariants bool
 	}
--- a/caller/request.go
+++ b/caller/request.go
@@ -143,7 +143,7 @@
 	to := fasthttp.AcquireRequest()
 	from.Header.CopyTo(&to.Header)
 	to.Header.SetNoDefaultContentType(true)
-	to.SetBody(from.Body())
+	to.SetBodyRaw(from.Body())
 	to.Header.SetRequestURI(target)
 	for _, name := range strippedHeaders {
 		to.Header.Del(name)
@@ -173,3 +173,21 @@
 func onceRequest(job *Job) once.Request {
 	return once.Request{Action: job.Action, Workspace: job.Workspace, Fingerprint: job.Fingerprint}
 }
+
+// refuseBody responds to a request whose body has not been read. An earlier attempt of an
+// action may have run.
+func (s *Server) refuseBody(ctx *fasthttp.RequestCtx, status int, message string) {
+	code := CodeBadRequest
+	if status == fasthttp.StatusServiceUnavailable {
+		code = CodeNoCapacity
+	}
+	result := notRun(code, message)
+	if _, keys := idempotencyKey(&ctx.Request); keys > 0 {
+		result = result.WithUnknown()
+	}
+	s.writeResult(ctx, s.newRequestID(), result)
+	ctx.SetStatusCode(status)
+	if code == CodeNoCapacity {
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, memoryRetryAfter)
+	}
+}
--- a/caller/server.go
+++ b/caller/server.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/bulrushferry/bulrushferry/clock"
+	"github.com/bulrushferry/bulrushferry/endpoint"
+	"github.com/bulrushferry/bulrushferry/memory"
 	"github.com/bulrushferry/bulrushferry/objective"
 	"github.com/bulrushferry/bulrushferry/once"
 	"github.com/bulrushferry/bulrushferry/peer"
@@ -36,12 +38,15 @@
 		Objectives *objective.Recorder
 		Metrics    metrics.Registry
 		Log        hclog.Logger
+		// Memory counts what callers hold; nil means no limit.
+		Memory *memory.Account
 	}
 
 	// Server is the HTTP server for callers.
 	Server struct {
 		config ServerConfig
 		http   *fasthttp.Server
+		guard  *endpoint.Guard
 		// requestCounter makes request IDs unique within this process.
 		requestCounter     atomic.Int64
 		keepAlivesDisabled atomic.Bool
@@ -53,9 +58,14 @@
 	servicePathPrefix  = "/v1/s/"
 	servicePathPattern = "/v1/s/{service}/{path:*}"
 
-	maxRequestBytes     = 8 << 20
-	maxHeaderBytes      = 16 << 10
-	readTimeout         = 30 * time.Second
+	maxRequestBytes = 8 << 20
+	maxHeaderBytes  = 16 << 10
+	readTimeout     = 30 * time.Second
+	writeTimeout    = 30 * time.Second
+	// bodyCopies is how many copies of a body there are while a request is forwarded to a
+	// peer: what was read, the message and its encoding.
+	bodyCopies          = 3
+	memoryRetryAfter    = "1"
 	idleConnTimeout     = 60 * time.Second
 	histogramSampleSize = 1028
 	histogramAlpha      = 0.015
@@ -74,8 +84,19 @@
 	r.NotFound = func(ctx *fasthttp.RequestCtx) {
 		s.writeResult(ctx, s.newRequestID(), notRun(CodeNoRoute, "no such path"))
 	}
+	s.guard = endpoint.NewGuard(endpoint.Config{
+		Memory:         config.Memory,
+		MaxConnections: func() int { return endpoint.ConnectionsOf(config.Memory.Usage().Limits, 1) },
+		MaxBodyBytes:   maxRequestBytes,
+		BodyCopies:     bodyCopies,
+		Metrics:        config.Metrics,
+		Log:            config.Log,
+		Refuse:         s.refuseBody,
+	})
 	s.http = &fasthttp.Server{
-		Handler:                      r.Handler,
+		Handler:                      s.guard.Handler(r.Handler),
+		StreamRequestBody:            true,
+		WriteTimeout:                 writeTimeout,
 		Name:                         "bulrushferry",
 		MaxRequestBodySize:           maxRequestBytes,
 		ReadBufferSize:               maxHeaderBytes,
@@ -111,6 +132,16 @@
 	return fmt.Sprintf("%s-%d", s.config.Fleet.Incarnation(), s.requestCounter.Add(1))
 }
 
+// Limit returns a listener that accepts as many connections as the server may have.
+func (s *Server) Limit(listener net.Listener) net.Listener {
+	return s.guard.Listen(listener)
+}
+
+// Reclaim closes connections that have stalled. It implements memory.Reclaimer.
+func (s *Server) Reclaim(kind memory.Kind, bytes int64) bool {
+	return s.guard.Reclaim(kind, bytes)
+}
+
 // handleReadError responds to a request that could not be read or parsed.
 func (s *Server) handleReadError(ctx *fasthttp.RequestCtx, err error) {
 	s.writeResult(ctx, s.newRequestID(), notRun(CodeBadRequest, "the request cannot be read: "+err.Error()))
--- a/entry/run.go
+++ b/entry/run.go
@@ -7,10 +7,12 @@
 	"io"
 	"net"
 	"path/filepath"
+	"runtime/debug"
 	"sync"
 	"time"
 
 	"github.com/bulrushferry/bulrushferry/clock"
+	"github.com/bulrushferry/bulrushferry/memory"
 	"github.com/bulrushferry/bulrushferry/peer"
 	"github.com/bulrushferry/bulrushferry/values"
 	"github.com/bulrushferry/bulrushferry/wire"
@@ -27,9 +29,6 @@
 	// from callers that still use an old lookup response. It exceeds the maximum age
 	// of such a response.
 	shutdownDelay = 3 * time.Second
-	// responseMemoryBytes limits what the responses of backend servers hold together
-	// while they are read.
-	responseMemoryBytes = 256 << 20
 )
 
 var (
@@ -42,6 +41,7 @@
 // gracefully: callers are directed to other instances, the requests in progress are
 // completed, and the list of actions is handed over to the peers.
 func Run(ctx context.Context, settings *wire.EntrySettings, settingsFile string, logOutput io.Writer) error {
+	debug.SetMemoryLimit(memory.CollectorLimit(int(settings.GetMemoryMb())))
 	c, err := newContainer(settings, settingsFile, logOutput)
 	if err != nil {
 		return err
@@ -64,6 +64,10 @@
 	if err != nil {
 		return err
 	}
+	p.Account.SetReclaimer(func(kind memory.Kind, bytes int64) bool {
+		callers, operators := p.CallerServer.Reclaim(kind, bytes), p.OperatorServer.Reclaim(kind, bytes)
+		return callers || operators
+	})
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	peerServer := peer.NewServer(p.Fleet, p.RateLimiter, p.Executor)
@@ -76,7 +80,7 @@
 	group.Go(func() { runPeriodically(background, probeInterval, p.Pool.Probe) })
 	failed := make(chan error, 2)
 	go func() { failed <- p.CallerServer.Serve(callerListener) }()
-	go func() { failed <- p.OperatorServer.Serve(operatorListener) }()
+	go func() { failed <- p.OperatorServer.Serve(p.OperatorServer.Limit(operatorListener)) }()
 	p.Log.Info("entry instance started", "incarnation", p.Fleet.Incarnation(), "callers", callerListener.Addr().String())
 	select {
 	case <-ctx.Done():
@@ -131,8 +135,12 @@
 // certificate for it.
 func (p process) listenCallers(settingsFile string) (net.Listener, error) {
 	listener, err := listen(p.Settings.GetCallerAddress())
-	if err != nil || p.Settings.GetCallerTls() == nil {
-		return listener, err
+	if err != nil {
+		return nil, err
+	}
+	listener = p.CallerServer.Limit(listener)
+	if p.Settings.GetCallerTls() == nil {
+		return listener, nil
 	}
 	dir := filepath.Dir(settingsFile)
 	tlsSettings := p.Settings.GetCallerTls()
@@ -176,8 +184,8 @@
 	return values.NewSet(names...)
 }
 
-// dispatchAndPrune periodically dispatches queued requests and removes old actions,
-// until the context ends.
+// dispatchAndPrune periodically dispatches queued requests, removes old actions and
+// publishes what the process holds, until the context ends.
 func (p process) dispatchAndPrune(ctx context.Context) {
 	var nextPruneAt clock.Millis
 	runPeriodically(ctx, dispatchInterval, func() {
@@ -185,6 +193,7 @@
 		if now := p.Clock.Now(); now >= nextPruneAt {
 			nextPruneAt = now + clock.FromDuration(pruneInterval)
 			p.Actions.Prune(now)
+			p.Account.Publish(p.Metrics)
 		}
 	})
 }
--- a/entry/wiring.go
+++ b/entry/wiring.go
@@ -15,7 +15,7 @@
 	"github.com/bulrushferry/bulrushferry/backend"
 	"github.com/bulrushferry/bulrushferry/caller"
 	"github.com/bulrushferry/bulrushferry/clock"
-	"github.com/bulrushferry/bulrushferry/http1"
+	"github.com/bulrushferry/bulrushferry/memory"
 	"github.com/bulrushferry/bulrushferry/objective"
 	"github.com/bulrushferry/bulrushferry/once"
 	"github.com/bulrushferry/bulrushferry/operator"
@@ -51,6 +51,7 @@
 		CallerServer   *caller.Server
 		OperatorServer *operator.Server
 		Metrics        metrics.Registry
+		Account        *memory.Account
 	}
 
 	// executorDeps are the dependencies of an executor.
@@ -92,6 +93,7 @@
 		newTransport,
 		newFleet,
 		newRateLimiter,
+		newAccount,
 		newPool,
 		newActionTable,
 		newClaimer,
@@ -208,14 +210,18 @@
 	})
 }
 
-func newPool(settings *wire.EntrySettings, c clock.Clock, fleet *peer.Fleet, transport *peer.Transport, log hclog.Logger) *backend.Pool {
+func newAccount(settings *wire.EntrySettings) *memory.Account {
+	return memory.NewAccount(memory.LimitsOf(int(settings.GetMemoryMb())))
+}
+
+func newPool(settings *wire.EntrySettings, account *memory.Account, c clock.Clock, fleet *peer.Fleet, transport *peer.Transport, log hclog.Logger) *backend.Pool {
 	pool := backend.NewPool(backend.PoolConfig{
 		Clock:            c,
 		Log:              log.Named("backend"),
 		Source:           sourceAddress(settings),
 		ServerLimits:     func(server *wire.BackendServer) (int, int) { return serverShares(fleet, server) },
 		RegionLimit:      func(region string) int { return regionShare(fleet, region) },
-		Memory:           http1.NewMemory(responseMemoryBytes),
+		Memory:           account,
 		BroadcastSuspect: func(suspect *wire.Suspect) { broadcastSuspect(fleet, transport, suspect) },
 		AssertInvariants: settings.GetAssertInvariants(),
 	})
@@ -316,7 +322,7 @@
 	return caller.NewResolver(c, fleet, pool.ServiceLoads)
 }
 
-func newCallerServer(c clock.Clock, fleet *peer.Fleet, executor *caller.Executor, resolver *caller.Resolver, keys *caller.KeyIndex, objectives *objective.Recorder, registry metrics.Registry, log hclog.Logger) *caller.Server {
+func newCallerServer(c clock.Clock, fleet *peer.Fleet, executor *caller.Executor, resolver *caller.Resolver, keys *caller.KeyIndex, objectives *objective.Recorder, registry metrics.Registry, log hclog.Logger, account *memory.Account) *caller.Server {
 	return caller.NewServer(caller.ServerConfig{
 		Clock:      c,
 		Fleet:      fleet,
@@ -326,16 +332,18 @@
 		Objectives: objectives,
 		Metrics:    registry,
 		Log:        log.Named("caller"),
+		Memory:     account,
 	})
 }
 
-func newOperatorServer(settings *wire.EntrySettings, fleet *peer.Fleet, pool *backend.Pool, objectives *objective.Recorder, registry metrics.Registry, log hclog.Logger) *operator.Server {
+func newOperatorServer(settings *wire.EntrySettings, fleet *peer.Fleet, pool *backend.Pool, objectives *objective.Recorder, registry metrics.Registry, log hclog.Logger, account *memory.Account) *operator.Server {
 	return operator.NewServer(operator.ServerConfig{
 		Fleet:      fleet,
 		Pool:       pool,
 		Objectives: objectives,
 		Metrics:    registry,
 		Log:        log.Named("operator"),
+		Memory:     account,
 		Token:      settings.GetOperatorToken(),
 	})
 }
--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -8,8 +8,10 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/bulrushferry/bulrushferry/memory"
 	"github.com/valyala/fasthttp"
 )
 
@@ -20,9 +22,24 @@
 	conn struct {
 		net.Conn
 		server *Server
+		// reader is nil while the connection is idle and has no buffer.
 		reader *bufio.Reader
-		ctx    context.Context
-		cancel context.CancelFunc
+		// prefix holds the byte that ended an idle wait, until the reader takes it.
+		prefix    [1]byte
+		hasPrefix bool
+		ctx       context.Context
+		cancel    context.CancelFunc
+		// hold is the memory of the connection and its buffer.
+		hold *memory.Hold
+		// bodyProgress counts the bytes of the request's body since progressAt was set.
+		bodyProgress int
+		// progressAt is when the caller last made progress with a request that is being
+		// read, or became idle, in nanoseconds since the epoch.
+		progressAt atomic.Int64
+		// writingSince is when the write of a response began, zero while there is none.
+		writingSince atomic.Int64
+		// writingBytes is the size of the body that is being written.
+		writingBytes atomic.Int64
 
 		mu sync.Mutex
 		// changed signals changes of pending and closed.
@@ -38,13 +55,25 @@
 		closing bool
 		// lingering is set once the last response has been written.
 		lingering bool
+		// ended is set once the connection is to end as soon as it is idle.
+		ended bool
+		// reclaimed is set once the body that is being read is to be refused.
+		reclaimed bool
+		// bodyHold is the memory of the body that is being read, nil if there is none.
+		bodyHold *memory.Hold
+		// served counts the requests that have been read.
+		served int
 	}
 
 	// Exchange is a request and its response.
 	Exchange struct {
 		Request *fasthttp.Request
+		// Body is the request's body. It is valid until Serve returns.
+		Body *memory.Body
 
 		conn *conn
+		// head and body are the memory that the exchange takes with and without the body.
+		head, body *memory.Hold
 		// response is nil until Respond is called.
 		response *fasthttp.Response
 		// release is called once the response has been written or dropped.
@@ -58,19 +87,24 @@
 
 const (
 	// maxPipelined limits the pending requests of a connection.
-	maxPipelined       = 16
-	writeTimeout       = 5 * time.Second
-	bodyReadTimeout    = 30 * time.Second
-	lingerTimeout      = 500 * time.Millisecond
-	minReadBufferBytes = 4 << 10
-	continueResponse   = "HTTP/1.1 100 Continue\r\n\r\n"
+	maxPipelined    = 16
+	writeTimeout    = 5 * time.Second
+	bodyReadTimeout = 30 * time.Second
+	lingerTimeout   = 500 * time.Millisecond
+	// readBufferBytes is the size of a connection's buffer, and of the usual heads.
+	readBufferBytes = 4 << 10
+	// bufferIdleTime is how long an idle connection keeps its buffer.
+	bufferIdleTime   = 2 * time.Second
+	continueResponse = "HTTP/1.1 100 Continue\r\n\r\n"
 )
 
 func newConn(s *Server, raw net.Conn) *conn {
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &conn{Conn: raw, server: s, ctx: ctx, cancel: cancel}
-	c.reader = bufio.NewReaderSize(raw, max(minReadBufferBytes, s.limits().MaxHeaderBytes))
 	c.changed = sync.NewCond(&c.mu)
+	c.hold = s.config.Memory.Hold(memory.ConnectionBuffers)
+	c.hold.Add(memory.ConnectionBytes)
+	c.progressAt.Store(time.Now().UnixNano())
 	return c
 }
 
@@ -91,8 +125,7 @@
 		if !c.awaitPipelineSpace() {
 			return false
 		}
-		_ = c.SetReadDeadline(time.Now().Add(c.server.limits().IdleTimeout.Duration()))
-		_, err := c.reader.Peek(1)
+		err := c.awaitByte()
 		if err == nil {
 			return c.beginRequest()
 		}
@@ -100,12 +133,53 @@
 			c.cancel()
 			return false
 		}
-		if c.allAnswered() {
+		if c.idleTimeLeft() <= 0 {
 			return false
 		}
 	}
 }
 
+// awaitByte waits for the first byte of a request, for as long as the connection may be idle
+// or, while it has a buffer, for up to bufferIdleTime, after which it gives the buffer back.
+func (c *conn) awaitByte() error {
+	left := c.idleTimeLeft()
+	if c.reader != nil {
+		_ = c.SetReadDeadline(time.Now().Add(min(left, bufferIdleTime)))
+		_, err := c.reader.Peek(1)
+		if err != nil {
+			c.releaseReader()
+		}
+		return err
+	}
+	_ = c.SetReadDeadline(time.Now().Add(left))
+	if c.idleTimeLeft() <= 0 {
+		return os.ErrDeadlineExceeded
+	}
+	n, err := c.Conn.Read(c.prefix[:])
+	if n == 0 {
+		return err
+	}
+	c.hasPrefix = true
+	c.acquireReader()
+	return nil
+}
+
+// idleTimeLeft returns how long the connection may still be idle. While requests are
+// pending, that is the whole idle timeout.
+func (c *conn) idleTimeLeft() time.Duration {
+	timeout := c.server.limits().IdleTimeout.Duration()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case len(c.pending) > 0:
+		return timeout
+	case c.ended:
+		return 0
+	default:
+		return timeout - time.Since(time.Unix(0, c.progressAt.Load()))
+	}
+}
+
 // awaitPipelineSpace waits until fewer than maxPipelined requests are pending. It returns
 // false if no further request may be read.
 func (c *conn) awaitPipelineSpace() bool {
@@ -123,6 +197,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.pending) == 0 && !c.reading {
+		c.ended = true
 		_ = c.SetReadDeadline(time.Now())
 	}
 }
@@ -133,6 +208,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reading = !c.closed && !c.closing
+	c.progressAt.Store(time.Now().UnixNano())
 	return c.reading
 }
 
@@ -143,107 +219,14 @@
 	return len(c.pending) == 0
 }
 
-// readRequest reads a request and starts to serve it. It reports whether further requests
-// may follow on the connection.
-func (c *conn) readRequest() bool {
-	limits := c.server.limits()
-	x := &Exchange{Request: fasthttp.AcquireRequest(), conn: c}
-	_ = c.SetReadDeadline(time.Now().Add(limits.HeaderTimeout.Duration()))
-	if err := x.Request.Header.Read(c.reader); err != nil {
-		return c.rejectRequest(x, headerErrorStatus(err), err)
-	}
-	if err := checkFraming(&x.Request.Header); err != nil {
-		return c.rejectRequest(x, fasthttp.StatusBadRequest, err)
-	}
-	if x.Request.MayContinue() && c.allAnswered() {
-		_, _ = c.Write([]byte(continueResponse))
-	}
-	_ = c.SetReadDeadline(time.Now().Add(bodyReadTimeout))
-	if err := c.readBody(x.Request, limits.MaxBodyBytes); err != nil {
-		return c.rejectRequest(x, bodyErrorStatus(err), err)
-	}
-	x.closeAfter = x.Request.Header.ConnectionClose()
-	c.enqueue(x)
-	go c.server.serve(c.ctx, x)
-	return !x.closeAfter
-}
-
-// readBody reads the body of a request, up to a limit in bytes. The bytes are kept as they
-// are whatever the content type: fasthttp would parse a form and write it anew.
-func (c *conn) readBody(request *fasthttp.Request, maxBytes int) error {
-	length := request.Header.ContentLength()
-	if length == 0 || (length < 0 && hasNoBody(request)) {
-		return nil
-	}
-	if length > maxBytes {
-		return fasthttp.ErrBodyTooLarge
-	}
-	const parseForms = false
-	return request.ContinueReadBody(c.reader, maxBytes, parseForms)
-}
-
-// hasNoBody reports whether a request with a negative content length has no body.
-// fasthttp uses -1 for a chunked body, and -2 if the header does not determine the
-// length.
-func hasNoBody(request *fasthttp.Request) bool {
-	return len(request.Header.Peek(fasthttp.HeaderTransferEncoding)) == 0 && request.Header.ContentLength() != -1
-}
-
-// rejectRequest sends an error response to a request that cannot be read, after which the
-// connection ends. If the status is 0, the caller has disconnected and gets no response.
-// It returns false, for readRequest to return.
-func (c *conn) rejectRequest(x *Exchange, status int, err error) bool {
-	if status == 0 {
-		c.cancel()
-		return false
-	}
-	c.server.config.Log.Debug("request cannot be read", "status", status, "error", err.Error())
-	x.closeAfter = true
-	c.enqueue(x)
-	response := NewErrorResponse(status, "the request cannot be read")
-	x.Respond(response, func() { fasthttp.ReleaseResponse(response) })
-	c.complete(x)
-	return false
-}
-
-// headerErrorStatus returns the HTTP status for an error in reading a request's header, or
-// zero if the caller has disconnected.
-func headerErrorStatus(err error) int {
-	var tooLarge *fasthttp.ErrSmallBuffer
-	if errors.As(err, &tooLarge) {
-		return fasthttp.StatusRequestHeaderFieldsTooLarge
-	}
-	return readErrorStatus(err)
-}
-
-// bodyErrorStatus returns the HTTP status for an error in reading a request's body, or
-// zero if the caller has disconnected.
-func bodyErrorStatus(err error) int {
-	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
-		return fasthttp.StatusRequestEntityTooLarge
-	}
-	return readErrorStatus(err)
-}
-
-// readErrorStatus returns the HTTP status for a read error that is neither specific to the
-// header nor to the body.
-func readErrorStatus(err error) int {
-	switch {
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return fasthttp.StatusRequestTimeout
-	case isDisconnect(err):
-		return 0
-	default:
-		return fasthttp.StatusBadRequest
-	}
-}
-
 // enqueue adds a request that has been read to the pending ones.
 func (c *conn) enqueue(x *Exchange) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.pending = append(c.pending, x)
 	c.reading = false
+	c.bodyHold = nil
+	c.served++
 	c.closing = c.closing || x.closeAfter
 }
 
@@ -262,6 +245,9 @@
 		c.dropReady()
 		c.cancel()
 	}
+	if len(c.pending) == 0 {
+		c.progressAt.Store(time.Now().UnixNano())
+	}
 	c.changed.Broadcast()
 }
 
@@ -288,6 +274,7 @@
 		x.release()
 		x.response, x.release = nil, nil
 	}
+	x.head.Release()
 }
 
 // writeResponse writes a response, and closes the connection for writing if it is the last
@@ -305,9 +292,7 @@
 		c.closing = true
 		closeAfter = len(c.pending) == 1 && !c.reading
 	}
-	_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
-	_, err := c.Write(encodeResponse(x, closeAfter))
-	if err != nil {
+	if err := c.send(x, closeAfter); err != nil {
 		c.closed = true
 		c.cancel()
 		return
@@ -319,6 +304,23 @@
 	fasthttp.ReleaseRequest(x.Request)
 }
 
+// send writes a response to the connection.
+func (c *conn) send(x *Exchange, closeAfter bool) error {
+	now := time.Now()
+	_ = c.SetWriteDeadline(now.Add(writeTimeout))
+	head, body := encodeResponse(x, closeAfter)
+	c.writingBytes.Store(int64(len(body)))
+	c.writingSince.Store(now.UnixNano())
+	defer c.writingSince.Store(0)
+	if len(body) == 0 {
+		_, err := c.Write(head)
+		return err
+	}
+	buffers := net.Buffers{head, body}
+	_, err := buffers.WriteTo(c.Conn)
+	return err
+}
+
 // lingeringClose closes the connection for writing and continues to read for up to
 // lingerTimeout. If the connection were closed at once, unread data from the caller would
 // cause a reset, which could discard a response that it has not read yet. The caller must
@@ -336,8 +338,9 @@
 // lingering close after the last response ends.
 func (c *conn) discardAndClose() {
 	if c.prepareDiscard() {
-		_, _ = c.reader.WriteTo(io.Discard)
+		_, _ = io.Copy(io.Discard, struct{ io.Reader }{c.Conn})
 	}
+	c.releaseReader()
 	c.cancel()
 	c.mu.Lock()
 	c.closed = true
@@ -345,6 +348,7 @@
 	c.changed.Broadcast()
 	c.mu.Unlock()
 	_ = c.Close()
+	c.hold.Release()
 }
 
 // prepareDiscard reports whether data is to be discarded before the connection is closed,
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -7,12 +7,17 @@
 	"github.com/valyala/fasthttp"
 )
 
-// encodeResponse returns a response in HTTP/1.1 wire format. It replaces the headers that
-// apply to a single connection, and sets Content-Length to the length of the body.
-func encodeResponse(x *Exchange, closeAfter bool) []byte {
+// maxCopiedBody is the size up to which a body is copied to the end of its head: one write
+// of little data is cheaper than one of two parts.
+const maxCopiedBody = 8 << 10
+
+// encodeResponse returns a response in HTTP/1.1 wire format: the head and the body, or both
+// together. It replaces the headers that apply to a single connection, and sets
+// Content-Length to the length of the body.
+func encodeResponse(x *Exchange, closeAfter bool) (head, rest []byte) {
 	response := x.response
 	body := response.Body()
-	out := make([]byte, 0, 512+len(body))
+	out := make([]byte, 0, 512+min(len(body), maxCopiedBody))
 	out = append(out, "HTTP/1.1 "...)
 	out = strconv.AppendInt(out, int64(response.StatusCode()), 10)
 	out = append(out, ' ')
@@ -36,10 +41,14 @@
 		out = append(out, "Connection: close\r\n"...)
 	}
 	out = append(out, "\r\n"...)
-	if x.Request.Header.IsHead() {
-		return out
+	switch {
+	case x.Request.Header.IsHead():
+		return out, nil
+	case len(body) <= maxCopiedBody:
+		return append(out, body...), nil
+	default:
+		return out, body
 	}
-	return append(out, body...)
 }
 
 // contentLength returns the value of the Content-Length field of a response, and whether
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -15,9 +15,11 @@
 	"time"
 
 	"github.com/bulrushferry/bulrushferry/clock"
+	"github.com/bulrushferry/bulrushferry/memory"
 	"github.com/bulrushferry/bulrushferry/routing"
 	"github.com/hashicorp/go-hclog"
 	"github.com/joomcode/errorx"
+	"github.com/rcrowley/go-metrics"
 	"github.com/valyala/fasthttp"
 )
 
@@ -36,6 +38,13 @@
 		// Limits returns the current limits on the sizes of requests and on the times
 		// that callers may take. Zero values mean the defaults.
 		Limits func() routing.Limits
+		// Memory counts what the server holds for callers; nil means no limit.
+		Memory *memory.Account
+		// MaxConnections returns the largest number of callers' connections; nil or zero
+		// means no limit.
+		MaxConnections func() int
+		// Metrics counts what the server refuses and closes.
+		Metrics metrics.Registry
 	}
 
 	// Server is an HTTP/1.1 server for callers.
@@ -43,8 +52,16 @@
 		config             ServerConfig
 		keepAlivesDisabled atomic.Bool
 
+		refusals *memory.RefusalLog
+
 		mu    sync.Mutex
 		conns map[*conn]struct{}
+
+		// reclaimMu guards the results of the last searches for connections to close.
+		reclaimMu              sync.Mutex
+		evictedAt, reclaimedAt time.Time
+		// reclaimedAny is set if the last search for memory found some.
+		reclaimedAny bool
 	}
 )
 
@@ -76,7 +93,9 @@
 
 // NewServer returns a server that is not serving yet.
 func NewServer(config ServerConfig) *Server {
-	return &Server{config: config, conns: make(map[*conn]struct{})}
+	s := &Server{config: config, conns: make(map[*conn]struct{}), refusals: memory.NewRefusalLog(config.Log, config.Memory)}
+	config.Memory.SetReclaimer(s.Reclaim)
+	return s
 }
 
 // Serve accepts and serves connections until the listener is closed.
@@ -91,6 +110,11 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
+		if !s.makeRoom() {
+			_ = raw.Close()
+			s.noteRefusal(reasonConnections)
+			continue
+		}
 		c := newConn(s, raw)
 		s.add(c)
 		go func() {
@@ -103,6 +127,8 @@
 // serve runs the handler for an exchange and completes it.
 func (s *Server) serve(ctx context.Context, x *Exchange) {
 	s.config.Handler.Serve(ctx, x)
+	x.Body.Release()
+	x.body.Release()
 	x.conn.complete(x)
 }
 
--- a/gateway/server_test.go
+++ b/gateway/server_test.go
@@ -193,7 +193,8 @@
 	x := &Exchange{Request: &fasthttp.Request{}, response: &fasthttp.Response{}}
 	x.Request.Header.SetMethod(fasthttp.MethodHead)
 	x.response.Header.SetContentLength(500)
-	if got := string(encodeResponse(x, false)); !strings.Contains(got, "Content-Length: 500\r\n") || !strings.HasSuffix(got, "\r\n\r\n") {
+	head, body := encodeResponse(x, false)
+	if got := string(head) + string(body); !strings.Contains(got, "Content-Length: 500\r\n") || !strings.HasSuffix(got, "\r\n\r\n") {
 		t.Errorf("got %q", got)
 	}
 }
--- a/http1/response.go
+++ b/http1/response.go
@@ -8,8 +8,8 @@
 	"errors"
 	"io"
 	"net/http/httputil"
-	"sync"
 
+	"github.com/bulrushferry/bulrushferry/memory"
 	"github.com/joomcode/errorx"
 	"github.com/valyala/fasthttp"
 )
@@ -38,16 +38,16 @@
 )
 
 const (
-	// bufferBytes is the size of a connection's read buffer, and of the usual heads.
-	bufferBytes = 4 << 10
+	// BufferBytes is the size of a connection's read buffer, and of the usual heads.
+	BufferBytes = 4 << 10
 	// maxHeadBytes limits the head of a response, and its trailer.
 	maxHeadBytes = 64 << 10
 	// maxInterimResponses limits the 1xx responses before the final one.
 	maxInterimResponses = 8
 	// maxBodyBytes limits the body of a response whatever memory there is.
 	maxBodyBytes = 64 << 20
-	// scratchBytes is how much of a body is read at a time.
-	scratchBytes = 32 << 10
+	// firstBodyBytes is how much memory a body of unknown length gets first.
+	firstBodyBytes = 16 << 10
 
 	// fasthttp gives these content lengths to chunked bodies and to those that end with
 	// the connection.
@@ -60,13 +60,11 @@
 
 	// ErrTooLarge means that the response exceeds a limit. The connection must be closed.
 	ErrTooLarge = errorSpace.NewType("too_large")
-
-	scratch = sync.Pool{New: func() any { return new([scratchBytes]byte) }}
 )
 
 // NewResponseReader returns a reader of the responses on a connection.
 func NewResponseReader(source io.Reader) *ResponseReader {
-	return &ResponseReader{source: source, buffer: bufio.NewReaderSize(source, bufferBytes)}
+	return &ResponseReader{source: source, buffer: bufio.NewReaderSize(source, BufferBytes)}
 }
 
 // Buffered returns the number of bytes that were received and belong to no response yet.
@@ -120,8 +118,8 @@
 
 // Shrink gives back a buffer that grew, unless it holds unread bytes.
 func (r *ResponseReader) Shrink() {
-	if r.buffer.Size() > bufferBytes && r.buffer.Buffered() == 0 {
-		r.buffer = bufio.NewReaderSize(r.source, bufferBytes)
+	if r.buffer.Size() > BufferBytes && r.buffer.Buffered() == 0 {
+		r.buffer = bufio.NewReaderSize(r.source, BufferBytes)
 	}
 }
 
@@ -143,49 +141,73 @@
 
 // ReadBody reads the body of the response whose head was read last. Each part is added to
 // hold before it is kept.
-func (r *ResponseReader) ReadBody(response *fasthttp.Response, framing Framing, hold *Hold) error {
+func (r *ResponseReader) ReadBody(response *fasthttp.Response, framing Framing, hold *memory.Hold) error {
 	switch framing {
 	case FixedLength:
 		length := int64(response.Header.ContentLength())
 		if length > maxBodyBytes {
 			return ErrTooLarge.New("the response's body has %d bytes, more than %d", length, int64(maxBodyBytes))
 		}
-		copied, err := copyBody(response, io.LimitReader(r.buffer, length), hold)
-		if err == nil && copied < length {
-			return io.ErrUnexpectedEOF
-		}
-		return err
+		return r.readFixedBody(response, int(length), hold)
 	case Chunked:
-		if _, err := copyBody(response, httputil.NewChunkedReader(r.buffer), hold); err != nil {
+		if err := copyBody(response, httputil.NewChunkedReader(r.buffer), hold); err != nil {
 			return err
 		}
 		return r.withLargeBuffer("trailer", func() error { return response.Header.ReadTrailer(r.buffer) })
 	case UntilClose:
-		_, err := copyBody(response, r.buffer, hold)
-		return err
+		return copyBody(response, r.buffer, hold)
 	default:
 		return nil
 	}
 }
 
-// copyBody appends what a reader delivers up to its end to the body of a response, and
-// returns the number of bytes.
-func copyBody(response *fasthttp.Response, body io.Reader, hold *Hold) (int64, error) {
-	part := scratch.Get().(*[scratchBytes]byte)
-	defer scratch.Put(part)
-	copied := int64(0)
+// readFixedBody reads a body of a known length into a buffer of that length.
+func (r *ResponseReader) readFixedBody(response *fasthttp.Response, length int, hold *memory.Hold) error {
+	if length == 0 {
+		return nil
+	}
+	if !hold.Grow(length) {
+		return ErrTooLarge.New("there is no memory for the response's body of %d bytes", length)
+	}
+	body := make([]byte, length)
+	if _, err := io.ReadFull(r.buffer, body); err != nil {
+		return err
+	}
+	response.SetBodyRaw(body)
+	return nil
+}
+
+// copyBody sets the body of a response to what a reader delivers up to its end. The memory
+// is added to hold before it is allocated.
+func copyBody(response *fasthttp.Response, body io.Reader, hold *memory.Hold) error {
+	var out []byte
 	for {
-		n, err := body.Read(part[:])
-		copied += int64(n)
-		if copied > maxBodyBytes || !hold.Grow(n) {
-			return copied, ErrTooLarge.New("there is no memory for the response's body after %d bytes", copied)
+		if len(out) == cap(out) {
+			grown := growBody(out, hold)
+			if grown == nil || len(out) > maxBodyBytes {
+				return ErrTooLarge.New("there is no memory for the response's body after %d bytes", len(out))
+			}
+			out = grown
 		}
-		response.AppendBody(part[:n])
+		n, err := body.Read(out[len(out):cap(out)])
+		out = out[:len(out)+n]
 		if errors.Is(err, io.EOF) {
-			return copied, nil
+			response.SetBodyRaw(out)
+			return nil
 		}
 		if err != nil {
-			return copied, err
+			return err
+		}
+	}
+}
+
+// growBody returns a copy of a body with more capacity, by half if there is room for that, or
+// nil if there is no room.
+func growBody(body []byte, hold *memory.Hold) []byte {
+	for _, more := range []int{max(cap(body)/2, firstBodyBytes), firstBodyBytes} {
+		if hold.Grow(more) {
+			return append(make([]byte, 0, cap(body)+more), body...)
 		}
 	}
+	return nil
 }
--- a/operator/server.go
+++ b/operator/server.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/bulrushferry/bulrushferry/backend"
+	"github.com/bulrushferry/bulrushferry/endpoint"
+	"github.com/bulrushferry/bulrushferry/memory"
 	"github.com/bulrushferry/bulrushferry/objective"
 	"github.com/bulrushferry/bulrushferry/peer"
 	"github.com/bulrushferry/bulrushferry/rules"
@@ -33,12 +35,15 @@
 		Log        hclog.Logger
 		// Token is the bearer token that operators must present.
 		Token string
+		// Memory counts what operators hold; nil means no limit.
+		Memory *memory.Account
 	}
 
 	// Server serves operators' requests over HTTP.
 	Server struct {
 		config ServerConfig
 		http   *fasthttp.Server
+		guard  *endpoint.Guard
 	}
 )
 
@@ -54,7 +59,17 @@
 
 	// storeTimeout limits requests that access the table service.
 	storeTimeout = 10 * time.Second
-	bearerPrefix = "Bearer "
+
+	// maxRequestBytes leaves room for a rules file that is encoded as JSON.
+	maxRequestBytes = 2 * rules.MaxFileBytes
+	// bodyCopies is how many copies of a body there are: what was read and the message.
+	bodyCopies       = 2
+	maxConnections   = 256
+	readTimeout      = 30 * time.Second
+	writeTimeout     = 30 * time.Second
+	idleTimeout      = 60 * time.Second
+	memoryRetryAfter = "1"
+	bearerPrefix     = "Bearer "
 )
 
 var marshalOptions = protojson.MarshalOptions{UseProtoNames: true, EmitUnpopulated: true}
@@ -71,11 +86,30 @@
 	r.GET(burnPath, s.requireToken(s.handleBurn))
 	r.GET(metricsPath, s.handleMetrics)
 	r.GET(healthPath, s.handleHealth)
+	s.guard = endpoint.NewGuard(endpoint.Config{
+		Memory:         config.Memory,
+		MaxConnections: func() int { return min(maxConnections, endpoint.ConnectionsOf(config.Memory.Usage().Limits, 1)) },
+		MaxBodyBytes:   maxRequestBytes,
+		BodyCopies:     bodyCopies,
+		Metrics:        config.Metrics,
+		Log:            config.Log,
+		Refuse: func(ctx *fasthttp.RequestCtx, status int, message string) {
+			ctx.Error(message, status)
+			if status == fasthttp.StatusServiceUnavailable {
+				ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, memoryRetryAfter)
+			}
+		},
+	})
 	s.http = &fasthttp.Server{
-		Handler:            r.Handler,
-		Name:               "bulrushferry",
-		MaxRequestBodySize: 2 * rules.MaxFileBytes,
-		Logger:             config.Log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+		Handler:                      s.guard.Handler(r.Handler),
+		Name:                         "bulrushferry",
+		MaxRequestBodySize:           maxRequestBytes,
+		StreamRequestBody:            true,
+		DisablePreParseMultipartForm: true,
+		ReadTimeout:                  readTimeout,
+		WriteTimeout:                 writeTimeout,
+		IdleTimeout:                  idleTimeout,
+		Logger:                       config.Log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
 	return s
 }
@@ -85,6 +119,16 @@
 	return s.http.Serve(listener)
 }
 
+// Limit returns a listener that accepts as many connections as the server may have.
+func (s *Server) Limit(listener net.Listener) net.Listener {
+	return s.guard.Listen(listener)
+}
+
+// Reclaim closes connections that have stalled. It implements memory.Reclaimer.
+func (s *Server) Reclaim(kind memory.Kind, bytes int64) bool {
+	return s.guard.Reclaim(kind, bytes)
+}
+
 // Shutdown stops listening and waits for the requests in progress, or until the
 // context ends.
 func (s *Server) Shutdown(ctx context.Context) error {
--- a/origin/bad_server_test.go
+++ b/origin/bad_server_test.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"github.com/bulrushferry/bulrushferry/clock"
-	"github.com/bulrushferry/bulrushferry/http1"
+	"github.com/bulrushferry/bulrushferry/memory"
 	"github.com/bulrushferry/bulrushferry/placement"
 	"github.com/joomcode/errorx"
 	"github.com/valyala/fasthttp"
@@ -69,10 +69,10 @@
 			t.Parallel()
 			var open sync.WaitGroup
 			server := listenEndless(t, c.begin, c.piece, c.pause, &open)
-			memory := http1.NewMemory(8 << 20)
+			account := memory.NewAccount(memory.Limits{Total: 8 << 20, Responses: 8 << 20})
 			request := testRequest("1")
 			pool := newTestPool()
-			pool.config.Memory = memory
+			pool.config.Memory = account
 			started := time.Now()
 			response, _, err := pool.Do(context.Background(), server, true, request)
 			if took := time.Since(started); took > request.TimeLeft.Duration()+200*time.Millisecond {
@@ -92,8 +92,8 @@
 				t.Error("the connection was not closed")
 			}
 			response.Release()
-			if memory.Used() != 0 {
-				t.Errorf("%d bytes are still held", memory.Used())
+			if account.Usage().Held[memory.Responses] != 0 {
+				t.Errorf("%d bytes are still held", account.Usage().Held[memory.Responses])
 			}
 		})
 	}
@@ -104,9 +104,9 @@
 // small response must still get through.
 func TestMemoryOfEndlessResponses(t *testing.T) {
 	const limit = 32 << 20
-	memory := http1.NewMemory(limit)
+	account := memory.NewAccount(memory.Limits{Total: limit, Responses: limit})
 	pool := newTestPool()
-	pool.config.Memory = memory
+	pool.config.Memory = account
 	var open, calls sync.WaitGroup
 	before := heapInUse()
 	peak, stop := make(chan uint64, 1), make(chan struct{})
@@ -125,8 +125,8 @@
 			if err == nil {
 				t.Error("a response without end counted as complete")
 			}
-			if memory.Used() > limit {
-				t.Errorf("%d bytes are held, the limit is %d", memory.Used(), limit)
+			if account.Usage().Held[memory.Responses] > limit {
+				t.Errorf("%d bytes are held, the limit is %d", account.Usage().Held[memory.Responses], limit)
 			}
 		})
 	}
--- a/origin/conn.go
+++ b/origin/conn.go
@@ -8,6 +8,7 @@
 
 	"github.com/bulrushferry/bulrushferry/clock"
 	"github.com/bulrushferry/bulrushferry/http1"
+	"github.com/bulrushferry/bulrushferry/memory"
 	"github.com/bulrushferry/bulrushferry/socket"
 	"github.com/valyala/fasthttp"
 )
@@ -15,6 +16,8 @@
 // conn is a connection to a backend server. It carries one request at a time.
 type conn struct {
 	*socket.TrackedConn
+	// hold is the memory of the connection.
+	hold   *memory.Hold
 	reader *http1.ResponseReader
 	// requests and responses count those sent and read on the connection.
 	requests, responses int
@@ -37,12 +40,19 @@
 	idleMargin = clock.Second
 )
 
-func newConn(c net.Conn) *conn {
-	wrapped := &conn{TrackedConn: socket.Track(c), idleTimeout: maxIdleTime}
+func newConn(c net.Conn, hold *memory.Hold) *conn {
+	wrapped := &conn{TrackedConn: socket.Track(c), hold: hold, idleTimeout: maxIdleTime}
 	wrapped.reader = http1.NewResponseReader(wrapped)
+	hold.Add(memory.ConnectionBytes + http1.BufferBytes)
 	return wrapped
 }
 
+// Close closes the connection and gives its memory back.
+func (c *conn) Close() error {
+	c.hold.Release()
+	return c.TrackedConn.Close()
+}
+
 // isAlive reports whether an idle connection can carry another request: it is open
 // and has no unread bytes.
 func (c *conn) isAlive() bool {
@@ -51,16 +61,16 @@
 
 // exchange sends a request and reads the response to it. It reports whether the
 // connection can carry another request.
-func (c *conn) exchange(names HeaderNames, request *Request, memory *http1.Memory) (*Response, bool, error) {
+func (c *conn) exchange(names HeaderNames, request *Request, account *memory.Account) (*Response, bool, error) {
 	c.requests++
-	if n, err := c.Write(request.encode(names)); err != nil {
+	if n, err := c.WriteBuffers(request.encode(names)); err != nil {
 		if n == 0 {
 			return nil, false, ErrUnreachable.Wrap(err, "sending the request")
 		}
 		return nil, false, c.wrapError(err, "sending the request")
 	}
 	for range maxStaleResponses {
-		response, reusable, err := c.readResponse(names, request, memory)
+		response, reusable, err := c.readResponse(names, request, account)
 		if err != nil || response != nil {
 			return response, reusable, err
 		}
@@ -70,8 +80,8 @@
 
 // readResponse reads and checks one response with its body. It returns nil for a late one
 // to another request. It reports whether the connection can carry another request.
-func (c *conn) readResponse(names HeaderNames, request *Request, memory *http1.Memory) (*Response, bool, error) {
-	response := newResponse(memory)
+func (c *conn) readResponse(names HeaderNames, request *Request, account *memory.Account) (*Response, bool, error) {
+	response := newResponse(account)
 	reusable, err := c.readWhole(names, request, response)
 	if err == nil && c.isStale(names, request.ID, response.message) {
 		response.Release()
--- a/origin/pool.go
+++ b/origin/pool.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/bulrushferry/bulrushferry/clock"
-	"github.com/bulrushferry/bulrushferry/http1"
+	"github.com/bulrushferry/bulrushferry/memory"
 	"github.com/bulrushferry/bulrushferry/placement"
 	"github.com/bulrushferry/bulrushferry/socket"
 	"github.com/joomcode/errorx"
@@ -25,11 +25,14 @@
 		// MaxConnections returns the limit of connections to one server of a
 		// service.
 		MaxConnections func(service string) int
+		// MaxOpen returns the limit of connections to all servers; nil or zero means
+		// none.
+		MaxOpen func() int
 		// OnConnect is called after each new connection with the time that it took
 		// to connect to a server of the region.
 		OnConnect func(region string, took clock.Millis)
 		// Memory limits what the responses hold; nil means no limit.
-		Memory *http1.Memory
+		Memory *memory.Account
 	}
 
 	// Pool keeps the connections to backend servers. It is safe for concurrent use.
@@ -39,6 +42,8 @@
 		mu sync.Mutex
 		// servers is keyed by the server's ID.
 		servers map[string]*serverConns
+		// open counts the connections to all servers.
+		open int
 	}
 
 	// serverConns holds the connections to one server.
@@ -46,6 +51,8 @@
 		idle []*conn
 		// open counts the connections that are idle, in use or being opened.
 		open int
+		// outstanding is the number of bytes of requests that the server may still hold.
+		outstanding int
 	}
 
 	// ResponseInfo holds what a response says about the server.
@@ -80,6 +87,9 @@
 	dialTimeout = 350 * time.Millisecond
 	// maxColdFor limits what a server may say of how long it stays cold.
 	maxColdFor = 10 * 60 * clock.Second
+	// maxOutstandingBytes limits the bodies that one server may still have to read, or has
+	// read for requests that still run. A single larger one is sent when there is no other.
+	maxOutstandingBytes = 32 << 20
 	// maxLoad limits the numbers of requests that a server may report.
 	maxLoad = 1 << 16
 )
@@ -96,6 +106,11 @@
 // Leaving of the info may be set.
 func (p *Pool) Do(ctx context.Context, server placement.Server, idempotent bool, request *Request) (*Response, ResponseInfo, error) {
 	deadline := time.Now().Add(request.TimeLeft.Duration())
+	size := request.Body.Len()
+	if !p.addOutstanding(server, size) {
+		return nil, ResponseInfo{}, ErrConnectionLimit.New("server %s has enough to read", server.ID)
+	}
+	defer p.removeOutstanding(server, size)
 	c, err := p.connect(server, idempotent, request.TimeLeft)
 	if err != nil {
 		return nil, ResponseInfo{}, err
@@ -186,7 +201,7 @@
 		return nil, ErrUnreachable.Wrap(err, "connecting to server %s at %s", server.ID, server.Address)
 	}
 	p.config.OnConnect(server.Region, p.config.Clock.Now()-started)
-	return newConn(raw), nil
+	return newConn(raw, p.config.Memory.Hold(memory.ConnectionBuffers)), nil
 }
 
 // takeIdle removes and returns an idle connection that can carry the request, or nil.
@@ -238,17 +253,59 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conns := p.serverConns(server)
-	if conns.open >= limit {
+	if conns.open >= limit || !p.makeRoom() {
 		return false
 	}
 	conns.open++
+	p.open++
 	return true
 }
 
+// makeRoom reports whether there is room for another connection. At the limit it closes an
+// idle one. The caller must hold the lock.
+func (p *Pool) makeRoom() bool {
+	if p.config.MaxOpen == nil {
+		return true
+	}
+	limit := p.config.MaxOpen()
+	if limit <= 0 || p.open < limit {
+		return true
+	}
+	for _, conns := range p.servers {
+		if len(conns.idle) == 0 {
+			continue
+		}
+		oldest := conns.idle[0]
+		p.pruneIdle(conns, func(c *conn) bool { return c != oldest })
+		return true
+	}
+	return false
+}
+
+// addOutstanding counts the bytes of a request that is about to be sent to a server, unless
+// the server would hold too many then.
+func (p *Pool) addOutstanding(server placement.Server, bytes int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	conns := p.serverConns(server)
+	if conns.outstanding > 0 && conns.outstanding+bytes > maxOutstandingBytes {
+		return false
+	}
+	conns.outstanding += bytes
+	return true
+}
+
+func (p *Pool) removeOutstanding(server placement.Server, bytes int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.serverConns(server).outstanding -= bytes
+}
+
 func (p *Pool) unreserve(server placement.Server) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.serverConns(server).open--
+	p.open--
 }
 
 // put returns a connection to the idle ones, or closes it if it is not reusable.
@@ -273,7 +330,7 @@
 func (p *Pool) closeIdle(server placement.Server) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.serverConns(server).pruneIdle(func(*conn) bool { return false })
+	p.pruneIdle(p.serverConns(server), func(*conn) bool { return false })
 }
 
 // closeDistrusted closes, after a timeout or a lost response, the idle connections to a
@@ -285,17 +342,17 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	conns := p.serverConns(server)
-	closed := conns.pruneIdle(func(c *conn) bool { return c.lastUsedAt >= since })
+	closed := p.pruneIdle(p.serverConns(server), func(c *conn) bool { return c.lastUsedAt >= since })
 	metrics.GetOrRegisterCounter("origin.distrusted", p.config.Metrics).Inc(int64(closed))
 }
 
 // pruneIdle closes the idle connections for which keep returns false and returns how
 // many it closed. The caller must hold the pool's lock.
-func (s *serverConns) pruneIdle(keep func(*conn) bool) int {
+func (p *Pool) pruneIdle(s *serverConns, keep func(*conn) bool) int {
 	kept, closed := socket.PruneIdle(s.idle, keep)
 	s.idle = kept
 	s.open -= closed
+	p.open -= closed
 	return closed
 }
 
@@ -306,8 +363,8 @@
 	defer p.mu.Unlock()
 	now := p.config.Clock.Now()
 	for id, conns := range p.servers {
-		conns.pruneIdle(func(c *conn) bool { return inUse(id) && now-c.lastUsedAt < c.idleTimeout })
-		if conns.open == 0 && !inUse(id) {
+		p.pruneIdle(conns, func(c *conn) bool { return inUse(id) && now-c.lastUsedAt < c.idleTimeout })
+		if conns.open == 0 && conns.outstanding == 0 && !inUse(id) {
 			delete(p.servers, id)
 		}
 	}
--- a/origin/request.go
+++ b/origin/request.go
@@ -1,10 +1,12 @@
 package origin
 
 import (
+	"net"
 	"strconv"
 	"strings"
 
 	"github.com/bulrushferry/bulrushferry/clock"
+	"github.com/bulrushferry/bulrushferry/memory"
 	"github.com/valyala/fasthttp"
 )
 
@@ -18,8 +20,10 @@
 	Workspace string
 	// TimeLeft is the time until the request times out.
 	TimeLeft clock.Millis
-	// Source is the request as the caller sent it.
+	// Source is the request as the caller sent it, without the body.
 	Source *fasthttp.Request
+	// Body is the body as the caller sent it.
+	Body *memory.Body
 	// Withhold is called right before the request is sent. If it returns a reason, nothing
 	// is sent.
 	Withhold func() (reason string)
@@ -40,12 +44,16 @@
 	"Upgrade":             {},
 }
 
-// encode returns the request as it is sent to the server. The method, the path, the body
-// and the fields are copied as the caller sent them.
-func (r *Request) encode(names HeaderNames) []byte {
+// maxCopiedBody is the size up to which a body is copied to the end of its head: one write
+// of little data is cheaper than one of several parts.
+const maxCopiedBody = 8 << 10
+
+// encode returns the request as it is sent to the server, in parts. The method, the path,
+// the body and the fields are those that the caller sent.
+func (r *Request) encode(names HeaderNames) net.Buffers {
 	header := &r.Source.Header
-	body := r.Source.Body()
-	out := make([]byte, 0, 512+len(body))
+	length := r.Body.Len()
+	out := make([]byte, 0, 512+min(length, maxCopiedBody))
 	out = append(out, header.Method()...)
 	out = append(out, ' ')
 	out = append(out, header.RequestURI()...)
@@ -65,11 +73,17 @@
 	if r.Workspace != "" {
 		out = appendField(out, names.Workspace, []byte(r.Workspace))
 	}
-	if len(body) > 0 || !isBodiless(header) {
-		out = appendField(out, "Content-Length", strconv.AppendInt(nil, int64(len(body)), 10))
+	if length > 0 || !isBodiless(header) {
+		out = appendField(out, "Content-Length", strconv.AppendInt(nil, int64(length), 10))
 	}
 	out = append(out, "\r\n"...)
-	return append(out, body...)
+	if length > maxCopiedBody {
+		return append(net.Buffers{out}, r.Body.Segments()...)
+	}
+	for _, segment := range r.Body.Segments() {
+		out = append(out, segment...)
+	}
+	return net.Buffers{out}
 }
 
 // isBodiless reports whether the method usually has no body. Other methods get a
--- a/origin/response.go
+++ b/origin/response.go
@@ -1,7 +1,7 @@
 package origin
 
 import (
-	"github.com/bulrushferry/bulrushferry/http1"
+	"github.com/bulrushferry/bulrushferry/memory"
 	"github.com/valyala/fasthttp"
 )
 
@@ -10,11 +10,11 @@
 type Response struct {
 	message *fasthttp.Response
 	// hold is the memory that the body takes.
-	hold *http1.Hold
+	hold *memory.Hold
 }
 
-func newResponse(memory *http1.Memory) *Response {
-	return &Response{message: fasthttp.AcquireResponse(), hold: memory.Hold()}
+func newResponse(account *memory.Account) *Response {
+	return &Response{message: fasthttp.AcquireResponse(), hold: account.Hold(memory.Responses)}
 }
 
 // Message returns the status, the header and the body.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -24,12 +24,15 @@
 	defaultSuspicionTimeout  = 1500 * time.Millisecond
 	defaultStopTimeout       = 20 * time.Second
 	defaultFleetSlots        = 42
+	defaultMemoryMB          = 512
 
 	// maxAuthorityTerm bounds how long an instance may act without a refresh, so
 	// that a withdrawn key stops working within five seconds.
 	maxAuthorityTerm = 3 * time.Second
 	minInterval      = 10 * time.Millisecond
 	maxFleetSlots    = 10_000
+	minMemoryMB      = 128
+	maxMemoryMB      = 1 << 20
 	minTokenLength   = 16
 )
 
@@ -81,6 +84,9 @@
 	if s.GetFleetSlots() == 0 {
 		s.FleetSlots = defaultFleetSlots
 	}
+	if s.GetMemoryMb() == 0 {
+		s.MemoryMb = defaultMemoryMB
+	}
 	if s.GetLogLevel() == "" {
 		s.LogLevel = "info"
 	}
@@ -115,6 +121,9 @@
 	if s.GetFleetSlots() < 1 || s.GetFleetSlots() > maxFleetSlots {
 		v.addProblem("fleet_slots: %d is not from 1 to %d", s.GetFleetSlots(), maxFleetSlots)
 	}
+	if s.GetMemoryMb() < minMemoryMB || s.GetMemoryMb() > maxMemoryMB {
+		v.addProblem("memory_mb: %d is not from %d to %d", s.GetMemoryMb(), minMemoryMB, maxMemoryMB)
+	}
 	v.checkLogLevel(s.GetLogLevel())
 	v.checkTiming(s)
 }
--- a/socket/tracked_conn.go
+++ b/socket/tracked_conn.go
@@ -35,6 +35,14 @@
 	return c.Conn.Write(p)
 }
 
+// WriteBuffers writes several buffers, without copying them.
+func (c *TrackedConn) WriteBuffers(buffers net.Buffers) (int64, error) {
+	for _, b := range buffers {
+		c.written += int64(len(b))
+	}
+	return buffers.WriteTo(c.Conn)
+}
+
 // BytesWritten returns the number of bytes passed to Write. As many may have reached
 // the peer, even if Write failed.
 func (c *TrackedConn) BytesWritten() int64 {
--- a/steering/adapter.go
+++ b/steering/adapter.go
@@ -12,8 +12,8 @@
 )
 
 type (
-	// Settings are the settings of one entry instance. Changes of Bounds, Seeds and
-	// MemoryMB take effect while the process runs, all others at the next start.
+	// Settings are the settings of one entry instance. Changes of Bounds, Seeds, MemoryMB
+	// and MaxFDs take effect while the process runs, all others at the next start.
 	Settings struct {
 		Instance      string
 		Region        string
@@ -35,6 +35,8 @@
 		FirstStart bool
 		// MemoryMB is the instance's memory limit in MiB; zero means no limit.
 		MemoryMB int
+		// MaxFDs is the instance's limit of descriptors; zero means the process's own.
+		MaxFDs int
 		// LinkMbitPerS is the speed of the instance's network link.
 		LinkMbitPerS int
 		Bounds       Bounds
--- a/steering/attempt.go
+++ b/steering/attempt.go
@@ -160,7 +160,7 @@
 // attempt sends the request to one backend server and reports the outcome to the balancer
 // and to the crash tracker. It returns the server's response if there is one.
 func (h *Handler) attempt(req *callerRequest, choice *placement.Choice, left clock.Millis) (*origin.Response, placement.Outcome) {
-	outbound := &origin.Request{ID: req.id, Pin: choice.Server.ID, TimeLeft: left, Source: req.exchange.Request}
+	outbound := &origin.Request{ID: req.id, Pin: choice.Server.ID, TimeLeft: left, Source: req.exchange.Request, Body: req.exchange.Body}
 	outbound.Withhold = func() string {
 		if !h.config.Balancer.MaySend(h.config.Clock.Now(), choice) {
 			return "the server left, paused or went out of use"
@@ -231,10 +231,13 @@
 	if req.workspace != nil {
 		_, _ = digest.WriteString(req.workspace.Name)
 	}
-	for _, part := range [][]byte{req.exchange.Request.Header.Method(), req.exchange.Request.Header.Host(), req.exchange.Request.Header.RequestURI(), req.exchange.Request.Body()} {
+	for _, part := range [][]byte{req.exchange.Request.Header.Method(), req.exchange.Request.Header.Host(), req.exchange.Request.Header.RequestURI(), nil} {
 		_, _ = digest.Write([]byte{0})
 		_, _ = digest.Write(part)
 	}
+	for _, part := range req.exchange.Body.Segments() {
+		_, _ = digest.Write(part)
+	}
 	return placement.Fingerprint(digest.Sum64())
 }
 
--- a/steering/endpoints.go
+++ b/steering/endpoints.go
@@ -2,15 +2,26 @@
 
 import (
 	"net"
+	"time"
 
 	"github.com/bulrushferry/bulrushferry/clock"
+	"github.com/bulrushferry/bulrushferry/memory"
+	"github.com/bulrushferry/bulrushferry/socket"
 	"github.com/rcrowley/go-metrics"
 	"github.com/valyala/fasthttp"
 	"google.golang.org/protobuf/proto"
 )
 
-// maxLookupAge limits how long callers may cache the result of a lookup.
-const maxLookupAge = 2 * clock.Second
+const (
+	// maxLookupAge limits how long callers may cache the result of a lookup.
+	maxLookupAge = 2 * clock.Second
+	// endpointBodyBytes limits the bodies of requests for lookups, readiness and metrics,
+	// which need none.
+	endpointBodyBytes    = 4 << 10
+	endpointReadTimeout  = 3 * time.Second
+	endpointWriteTimeout = 5 * time.Second
+	endpointIdleTimeout  = 30 * time.Second
+)
 
 // serveEndpoints starts the HTTP servers for lookups, readiness checks and metrics.
 // Endpoints without an address are not served.
@@ -26,13 +37,26 @@
 		if address == "" {
 			continue
 		}
+		limit := func() int { return p.LiveSettings.capacity().endpoint }
+		if address == s.LookupAddress {
+			limit = func() int { return p.LiveSettings.capacity().lookups }
+		}
 		listener, err := listen(address)
 		if err != nil {
 			return err
 		}
-		server := &fasthttp.Server{Handler: handler, NoDefaultServerHeader: true, CloseOnShutdown: true}
+		server := &fasthttp.Server{
+			Handler:               handler,
+			NoDefaultServerHeader: true,
+			CloseOnShutdown:       true,
+			MaxRequestBodySize:    endpointBodyBytes,
+			ReadTimeout:           endpointReadTimeout,
+			WriteTimeout:          endpointWriteTimeout,
+			IdleTimeout:           endpointIdleTimeout,
+		}
+		limited := p.limitConnections(listener, limit)
 		go func() {
-			if err := server.Serve(listener); err != nil {
+			if err := server.Serve(limited); err != nil {
 				p.Log.Error("serving failed", "address", address, "error", err.Error())
 			}
 		}()
@@ -40,6 +64,22 @@
 	return nil
 }
 
+// limitConnections returns a listener that accepts up to a number of connections at a time,
+// which count as held memory.
+func (p process) limitConnections(listener net.Listener, limit func() int) net.Listener {
+	hold := p.Memory.Hold(memory.ConnectionBuffers)
+	refusals := memory.NewRefusalLog(p.Log, p.Memory)
+	return socket.NewLimiter(socket.LimiterConfig{
+		Max:     limit,
+		OnOpen:  func() { hold.Add(endpointConnectionBytes) },
+		OnClose: func() { hold.Shrink(endpointConnectionBytes) },
+		OnEvict: func() {
+			metrics.GetOrRegisterCounter("endpoints.closed", p.Metrics).Inc(1)
+			refusals.Note(time.Now(), "endpoints.closed", "address", listener.Addr().String())
+		},
+	}).Listen(listener)
+}
+
 // serveMetrics writes the values of all metrics as text.
 func (p process) serveMetrics(ctx *fasthttp.RequestCtx) {
 	metrics.WriteOnce(p.Metrics, ctx)
--- a/steering/forward_test.go
+++ b/steering/forward_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/bulrushferry/bulrushferry/clock"
+	"github.com/bulrushferry/bulrushferry/memory"
 	"github.com/bulrushferry/bulrushferry/wire"
 	"github.com/valyala/fasthttp"
 )
@@ -201,7 +202,7 @@
 				t.Errorf("the answer came after %s, the deadline was 600 ms", took)
 			}
 			time.Sleep(20 * time.Millisecond)
-			if used := in.memory.Used(); used != 0 {
+			if used := in.memory.Usage().Held[memory.Responses]; used != 0 {
 				t.Errorf("%d bytes are held after the answer", used)
 			}
 		})
--- a/steering/instance_test.go
+++ b/steering/instance_test.go
@@ -14,7 +14,7 @@
 	"github.com/bulrushferry/bulrushferry/clock"
 	"github.com/bulrushferry/bulrushferry/fleet"
 	"github.com/bulrushferry/bulrushferry/gateway"
-	"github.com/bulrushferry/bulrushferry/http1"
+	"github.com/bulrushferry/bulrushferry/memory"
 	"github.com/bulrushferry/bulrushferry/origin"
 	"github.com/bulrushferry/bulrushferry/placement"
 	"github.com/bulrushferry/bulrushferry/routing"
@@ -43,7 +43,7 @@
 		address  string
 		handler  *Handler
 		balancer *placement.Balancer
-		memory   *http1.Memory
+		memory   *memory.Account
 		state    testControlState
 		servers  []*scriptedServer
 	}
@@ -175,7 +175,7 @@
 	manual.Set(100 * clock.Second)
 	system := clock.NewSystem()
 	members := fleet.NewMembers(&wire.FleetInstance{Instance: "self"}, 5*clock.Second)
-	in := &testInstance{t: t, servers: servers, balancer: placement.NewBalancer(placement.BalancerConfig{FailureDomain: "d", Region: "r", Regions: []string{"r"}}), memory: http1.NewMemory(16 << 20)}
+	in := &testInstance{t: t, servers: servers, balancer: placement.NewBalancer(placement.BalancerConfig{FailureDomain: "d", Region: "r", Regions: []string{"r"}}), memory: memory.NewAccount(memory.Limits{Total: 16 << 20, Responses: 16 << 20})}
 	registry := metrics.NewRegistry()
 	state := NewControlState(ControlStateConfig{
 		BootClock: manual, Clock: system, Log: hclog.NewNullLogger(), Metrics: registry, Balancer: in.balancer, Members: members,
--- a/steering/reload.go
+++ b/steering/reload.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/bulrushferry/bulrushferry/memory"
 	"github.com/hashicorp/go-hclog"
 )
 
@@ -68,20 +69,21 @@
 // apply passes the settings to the components that hold copies of them.
 func (p process) apply(settings Settings) {
 	setMemoryLimit(settings)
-	p.Memory.SetLimit(responseMemory(settings))
+	p.Memory.SetLimits(memory.LimitsOf(settings.MemoryMB))
 	p.Members.SetAuthorityTerm(settings.Bounds.Authority)
 	p.Balancer.SetColdLimits(settings.Bounds.ColdOverage, settings.Bounds.ColdSlack)
 	p.Balancer.SetMaxShift(settings.Bounds.MaxShift)
 }
 
-// mergeReloadable returns the old settings with the bounds, seeds and memory limit of the
-// new ones. All others, such as the instance's name, region and addresses, take effect at
+// mergeReloadable returns the old settings with the bounds, seeds and limits of memory and
+// descriptors of the new ones. All others, such as the instance's name, region and addresses, take effect at
 // the next start only.
 func mergeReloadable(old, settings Settings, log hclog.Logger) Settings {
 	merged := old
 	merged.Bounds = settings.Bounds
 	merged.Seeds = settings.Seeds
 	merged.MemoryMB = settings.MemoryMB
+	merged.MaxFDs = settings.MaxFDs
 	if !reflect.DeepEqual(merged, settings) {
 		log.Warn("some changed settings take effect at the next start only")
 	}
@@ -92,15 +94,6 @@
 // instance's memory limit.
 func setMemoryLimit(settings Settings) {
 	if settings.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(settings.MemoryMB) * mebibyte * memoryLimitPercent / 100)
+		debug.SetMemoryLimit(memory.CollectorLimit(settings.MemoryMB))
 	}
 }
-
-// responseMemory returns how many bytes the bodies of backend servers' responses may hold
-// together.
-func responseMemory(settings Settings) int64 {
-	if settings.MemoryMB <= 0 {
-		return defaultResponseMemoryMB * mebibyte
-	}
-	return int64(settings.MemoryMB) * mebibyte * responseMemoryPercent / 100
-}
--- a/steering/run.go
+++ b/steering/run.go
@@ -14,7 +14,7 @@
 	"github.com/bulrushferry/bulrushferry/clock"
 	"github.com/bulrushferry/bulrushferry/fleet"
 	"github.com/bulrushferry/bulrushferry/gateway"
-	"github.com/bulrushferry/bulrushferry/http1"
+	"github.com/bulrushferry/bulrushferry/memory"
 	"github.com/bulrushferry/bulrushferry/origin"
 	"github.com/bulrushferry/bulrushferry/peer"
 	"github.com/bulrushferry/bulrushferry/placement"
@@ -41,7 +41,7 @@
 	Transport    *peer.Transport
 	RateLimiter  *RateLimiter
 	Pool         *origin.Pool
-	Memory       *http1.Memory
+	Memory       *memory.Account
 	Handler      *Handler
 	Gateway      *gateway.Server
 }
@@ -59,16 +59,6 @@
 	acceptPercent = 45
 	// idleCloseLead is how long before the end of serving idle connections are closed.
 	idleCloseLead = 1500 * time.Millisecond
-	// memoryLimitPercent is the percentage of the instance's memory limit that is set
-	// as the garbage collector's soft limit.
-	memoryLimitPercent = 70
-	// responseMemoryPercent is the percentage of the instance's memory limit that the
-	// bodies of backend servers' responses may hold together. Buffers that grow take up
-	// to twice as much for a moment.
-	responseMemoryPercent = 15
-	// defaultResponseMemoryMB replaces that share where the instance has no limit.
-	defaultResponseMemoryMB = 128
-	mebibyte                = 1 << 20
 	// partUnit is the number of units of the metric quota.part that make a whole.
 	partUnit = 1e6
 	// logFlushTime is the time allowed for writing the last log lines before the
@@ -161,6 +151,7 @@
 		p.Members.SetReady(p.isReady())
 		p.Membership.refresh()
 		p.ControlState.DetectOutage()
+		p.updateMemory()
 		metrics.GetOrRegisterCounter("refusals.needless", p.Metrics).Inc(int64(p.Balancer.TakeNeedlessRefusals()))
 		metrics.GetOrRegisterGauge("quota.part", p.Metrics).Update(int64(p.Membership.ownPart() * partUnit))
 		p.RateLimiter.SyncBuckets(p.ControlState.RateLimitedWorkspaces())
--- a/steering/wiring.go
+++ b/steering/wiring.go
@@ -8,7 +8,7 @@
 	"github.com/bulrushferry/bulrushferry/clock"
 	"github.com/bulrushferry/bulrushferry/fleet"
 	"github.com/bulrushferry/bulrushferry/gateway"
-	"github.com/bulrushferry/bulrushferry/http1"
+	"github.com/bulrushferry/bulrushferry/memory"
 	"github.com/bulrushferry/bulrushferry/origin"
 	"github.com/bulrushferry/bulrushferry/peer"
 	"github.com/bulrushferry/bulrushferry/placement"
@@ -156,19 +156,20 @@
 	})
 }
 
-func newPool(adapter Adapter, c clock.Clock, registry metrics.Registry, balancer *placement.Balancer, memory *http1.Memory) *origin.Pool {
+func newPool(adapter Adapter, c clock.Clock, registry metrics.Registry, balancer *placement.Balancer, account *memory.Account, l *liveSettings) *origin.Pool {
 	return origin.NewPool(origin.PoolConfig{
 		Clock:          c,
 		Headers:        adapter.Headers,
 		Metrics:        registry,
 		MaxConnections: balancer.MaxConnections,
 		OnConnect:      balancer.SetRoundTrip,
-		Memory:         memory,
+		MaxOpen:        func() int { return l.capacity().servers },
+		Memory:         account,
 	})
 }
 
-func newMemory(s Settings) *http1.Memory {
-	return http1.NewMemory(responseMemory(s))
+func newMemory(s Settings) *memory.Account {
+	return memory.NewAccount(memory.LimitsOf(s.MemoryMB))
 }
 
 func newRetryBudget(l *liveSettings, m *membership) *RetryBudget {
@@ -190,6 +191,13 @@
 	})
 }
 
-func newGateway(h *Handler, state *ControlState, log hclog.Logger) *gateway.Server {
-	return gateway.NewServer(gateway.ServerConfig{Handler: h, Log: log.Named("gateway"), Limits: state.Limits})
+func newGateway(h *Handler, state *ControlState, log hclog.Logger, account *memory.Account, l *liveSettings, registry metrics.Registry) *gateway.Server {
+	return gateway.NewServer(gateway.ServerConfig{
+		Handler:        h,
+		Log:            log.Named("gateway"),
+		Limits:         state.Limits,
+		Memory:         account,
+		MaxConnections: func() int { return l.capacity().callers },
+		Metrics:        registry,
+	})
 }
