Charge requests and connections what they take

Cause: in a trial with 3,000 clients on one process of 136 MB and 8,192 descriptors, 16 pipelined heads of 12 KiB each took it to 160 MiB: a request was charged 8 KiB and three times its head, a connection 8 KiB, and both have larger stacks. The numbers of requests and connections that fit stay far above what an instance of that size serves: 1,384 connections, about 2,700 small requests at a time.

Weighed: closing idle connections for any need. One gives 12 KiB back, so that a large body would close all of them; they are closed for up to 256 KiB only. Searches for connections to close now pause for 25 µs a connection, about a hundredth of a core at most.

--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -47,7 +47,7 @@
 
 const (
 	// connectionBytes is what a connection takes with its buffers.
-	connectionBytes = memory.ConnectionBytes + 24<<10
+	connectionBytes = memory.ConnectionBytes + 20<<10
 	// stallTime is how long nothing may arrive of a body before its memory is reclaimed if
 	// it is needed.
 	stallTime      = 2 * time.Second
--- a/gateway/memory_test.go
+++ b/gateway/memory_test.go
@@ -233,3 +233,27 @@
 		t.Errorf("got %q", got)
 	}
 }
+
+// TestLargeHead guards against heads that are damaged where the buffer grows for them, and
+// against bytes of the next request that are lost when it shrinks.
+func TestLargeHead(t *testing.T) {
+	account := memory.NewAccount(memory.LimitsOf(136))
+	listener := startLimitedServer(t, account, 10, echo)
+	c := dialServer(t, listener)
+	var text strings.Builder
+	for n := range 6 {
+		body := fmt.Sprint("body ", n)
+		padding := strings.Repeat("p", 1+n%3*5000)
+		_, _ = fmt.Fprintf(&text, "POST /a/ HTTP/1.1\r\nHost: a\r\nX-Padding: %s\r\nContent-Length: %d\r\n\r\n%s", padding, len(body), body)
+	}
+	go func() { _, _ = io.WriteString(c, text.String()) }()
+	reader := bufio.NewReader(c)
+	for n := range 6 {
+		response := &fasthttp.Response{}
+		if err := response.Read(reader); err != nil || string(response.Body()) != fmt.Sprint("body ", n) {
+			t.Fatalf("request %d: %v, %q", n, err, response.Body())
+		}
+	}
+	_ = c.Close()
+	awaitNothingHeld(t, account, memory.Heads, memory.RequestBodies, memory.ConnectionBuffers)
+}
--- a/gateway/read.go
+++ b/gateway/read.go
@@ -16,9 +16,9 @@
 const (
 	// exchangeBytes is what a request takes besides its head and body: its state and the
 	// stack of the goroutine that serves it.
-	exchangeBytes = 8 << 10
+	exchangeBytes = 24 << 10
 	// headCopies is how many times the parsed head takes its size.
-	headCopies = 3
+	headCopies = 4
 	// memoryRetryAfter is the Retry-After of a request that was refused for memory.
 	memoryRetryAfter = 200 * clock.Millis(1)
 )
--- a/gateway/reclaim.go
+++ b/gateway/reclaim.go
@@ -31,9 +31,11 @@
 	reasonStalled     refusalReason = "closed.stalled"
 	reasonUnread      refusalReason = "closed.unread"
 
-	// reclaimInterval is the least time between two searches for connections to close. A
-	// search looks at all connections.
-	reclaimInterval = 10 * time.Millisecond
+	// A search for connections to close looks at all of them, at about 0.2 µs each. Between
+	// two searches pass searchInterval and searchPause for each connection, which bounds
+	// their cost to about a hundredth of a core.
+	searchInterval = 5 * time.Millisecond
+	searchPause    = 25 * time.Microsecond
 	// stallTime is how long a caller may make no progress with a request, or with reading
 	// a response, before its memory is reclaimed if it is needed.
 	stallTime = 2 * time.Second
@@ -43,6 +45,9 @@
 	// one that has had some, must be idle before it may be closed to make room.
 	unusedTime      = 50 * time.Millisecond
 	idleReclaimTime = time.Second
+	// maxIdleReclaim is the most memory for which idle connections are closed. For a large
+	// body hundreds of them would be closed, for 12 KiB each.
+	maxIdleReclaim = 256 << 10
 	// evictShare is the part of the connections that is closed at a time to make room for
 	// others, as a divisor.
 	evictShare = 16
@@ -91,7 +96,7 @@
 func (s *Server) evict(count int) {
 	s.reclaimMu.Lock()
 	defer s.reclaimMu.Unlock()
-	if time.Since(s.evictedAt) < reclaimInterval {
+	if time.Since(s.evictedAt) < s.searchInterval() {
 		return
 	}
 	s.evictedAt = time.Now()
@@ -107,7 +112,7 @@
 func (s *Server) Reclaim(kind memory.Kind, bytes int64) bool {
 	s.reclaimMu.Lock()
 	defer s.reclaimMu.Unlock()
-	if time.Since(s.reclaimedAt) < reclaimInterval {
+	if time.Since(s.reclaimedAt) < s.searchInterval() {
 		return s.reclaimedAny
 	}
 	s.reclaimedAt = time.Now()
@@ -119,6 +124,9 @@
 		if kind == memory.Responses && found.order != orderUnread {
 			continue
 		}
+		if bytes > maxIdleReclaim && found.order <= orderIdle {
+			continue
+		}
 		freed += found.bytes
 		if found.order == orderStalled {
 			found.conn.reclaimBody()
@@ -131,6 +139,11 @@
 	return s.reclaimedAny
 }
 
+// searchInterval returns the least time between two searches.
+func (s *Server) searchInterval() time.Duration {
+	return searchInterval + time.Duration(s.Connections())*searchPause
+}
+
 // candidates returns the connections that may be closed, in the order of reclaiming: within
 // a kind, those with the most memory first and then those that have waited longest.
 func (s *Server) candidates(now time.Time) []candidate {
--- a/memory/limits.go
+++ b/memory/limits.go
@@ -21,7 +21,7 @@
 	defaultResponses = 128 << 20
 	// ConnectionBytes is what an open connection takes besides its buffers: its state and
 	// the stack of its goroutine.
-	ConnectionBytes = 8 << 10
+	ConnectionBytes = 12 << 10
 	// connectionShare is the part of the total that callers' connections may use, as a
 	// divisor.
 	connectionShare = 4
--- a/steering/capacity.go
+++ b/steering/capacity.go
@@ -23,7 +23,7 @@
 	maxLookupConnections   = 512
 	maxEndpointConnections = 64
 	// endpointConnectionBytes is what a connection to one of these ports takes.
-	endpointConnectionBytes = memory.ConnectionBytes + 8<<10
+	endpointConnectionBytes = memory.ConnectionBytes + 4<<10
 )
 
 // capacityOf returns the numbers of connections that fit in the descriptors and the memory
