Say what was refused for memory, and bound the searches at the other ports

A 503 for memory said that the request cannot be read. At their limit of connections the ports of endpoint and socket.Limiter searched all connections for each new one; searches now pause as those of gateway do. A server without an account is limited by descriptors only.

--- a/caller/server.go
+++ b/caller/server.go
@@ -86,7 +86,7 @@
 	}
 	s.guard = endpoint.NewGuard(endpoint.Config{
 		Memory:         config.Memory,
-		MaxConnections: func() int { return endpoint.ConnectionsOf(config.Memory.Usage().Limits, 1) },
+		MaxConnections: func() int { return endpoint.MaxConnections(config.Memory) },
 		MaxBodyBytes:   maxRequestBytes,
 		BodyCopies:     bodyCopies,
 		Metrics:        config.Metrics,
--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -74,10 +74,14 @@
 	return g
 }
 
-// ConnectionsOf returns how many connections a server of a process may have, of which it has
-// several.
-func ConnectionsOf(limits memory.Limits, servers int) int {
-	return max(1, min(limits.MaxConnections(connectionBytes), socket.UsableDescriptors(0)/2)/servers)
+// MaxConnections returns how many connections a server may have in a process with an account,
+// which may be nil, and its own limit of descriptors.
+func MaxConnections(account *memory.Account) int {
+	most := socket.UsableDescriptors(0) / 2
+	if account == nil {
+		return most
+	}
+	return min(most, account.Usage().Limits.MaxConnections(connectionBytes))
 }
 
 // Listen returns a listener that accepts connections up to the limit.
--- a/gateway/read.go
+++ b/gateway/read.go
@@ -125,16 +125,23 @@
 	x.body.Release()
 	x.closeAfter = true
 	c.enqueue(x)
-	response := NewErrorResponse(status, "the request cannot be read")
-	if status == fasthttp.StatusServiceUnavailable {
-		SetRetryAfter(response, memoryRetryAfter)
-		c.server.noteRefusal(reasonMemory)
-	}
+	response := c.server.newRejection(status)
 	x.Respond(response, func() { fasthttp.ReleaseResponse(response) })
 	c.complete(x)
 	return false
 }
 
+// newRejection returns the response to a request that cannot be read.
+func (s *Server) newRejection(status int) *fasthttp.Response {
+	if status != fasthttp.StatusServiceUnavailable {
+		return NewErrorResponse(status, "the request cannot be read")
+	}
+	s.noteRefusal(reasonMemory)
+	response := NewErrorResponse(status, "there is no memory for the request")
+	SetRetryAfter(response, memoryRetryAfter)
+	return response
+}
+
 // headerErrorStatus returns the HTTP status for an error in reading a request's header, or
 // zero if the caller has disconnected.
 func headerErrorStatus(err error) int {
--- a/operator/server.go
+++ b/operator/server.go
@@ -88,7 +88,7 @@
 	r.GET(healthPath, s.handleHealth)
 	s.guard = endpoint.NewGuard(endpoint.Config{
 		Memory:         config.Memory,
-		MaxConnections: func() int { return min(maxConnections, endpoint.ConnectionsOf(config.Memory.Usage().Limits, 1)) },
+		MaxConnections: func() int { return min(maxConnections, endpoint.MaxConnections(config.Memory)) },
 		MaxBodyBytes:   maxRequestBytes,
 		BodyCopies:     bodyCopies,
 		Metrics:        config.Metrics,
--- a/socket/limiter.go
+++ b/socket/limiter.go
@@ -27,6 +27,8 @@
 
 		mu    sync.Mutex
 		conns map[*limitedConn]struct{}
+		// searchedAt is when connections to close were last searched for.
+		searchedAt time.Time
 	}
 
 	limitedListener struct {
@@ -51,6 +53,10 @@
 	minIdleTime = 50 * time.Millisecond
 	// evictShare is the part of the connections that is closed at a time, as a divisor.
 	evictShare = 16
+	// A search looks at all connections. Between two searches pass searchInterval and
+	// searchPause for each connection, so that they cost about a hundredth of a core.
+	searchInterval = 5 * time.Millisecond
+	searchPause    = 25 * time.Microsecond
 )
 
 // NewLimiter returns a Limiter without connections.
@@ -101,7 +107,7 @@
 // add counts a connection. It returns nil if there is no room.
 func (l *Limiter) add(raw net.Conn) *limitedConn {
 	limit := l.config.Max()
-	if count := l.count(); count >= limit {
+	if count := l.count(); count >= limit && l.maySearch() {
 		idle := l.idle(minIdleTime)
 		l.evict(idle[:min(len(idle), count-limit+limit/evictShare+1)])
 	}
@@ -117,6 +123,18 @@
 	return c
 }
 
+// maySearch reports whether enough time has passed since the last search for connections to
+// close.
+func (l *Limiter) maySearch() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if time.Since(l.searchedAt) < searchInterval+time.Duration(len(l.conns))*searchPause {
+		return false
+	}
+	l.searchedAt = time.Now()
+	return true
+}
+
 func (l *Limiter) count() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
