--- a/steering/adapter.go
+++ b/steering/adapter.go
@@ -14,8 +14,8 @@
 )
 
 type (
-	// Settings are the settings of one entry instance. Changes of Bounds, Seeds and
-	// MemoryMB take effect while the process runs, all others at the next start.
+	// Settings are the settings of one entry instance. Changes of Bounds, Seeds, MemoryMB
+	// and MaxFDs take effect while the process runs, all others at the next start.
 	Settings struct {
 		Instance      string
 		Region        string
@@ -40,11 +40,13 @@
 		// LinkMbitPerS is the speed of the instance's network link.
 		LinkMbitPerS int
 		// CPUShare is the share of each of Cores processor cores that the instance may
-		// use, and MaxFDs its limit on open descriptors; zero means unknown.
+		// use; zero means unknown.
 		CPUShare float64
 		Cores    float64
-		MaxFDs   int
-		Bounds   Bounds
+		// MaxFDs is the instance's limit on open descriptors; zero means that only the
+		// process's own is known.
+		MaxFDs int
+		Bounds Bounds
 	}
 
 	// Bounds are the time limits and rates that the deployment has to stay within.
--- a/steering/own_limits.go
+++ b/steering/own_limits.go
@@ -6,6 +6,7 @@
 	"github.com/bulrushferry/bulrushferry/clock"
 	"github.com/bulrushferry/bulrushferry/directory"
 	"github.com/bulrushferry/bulrushferry/fleet"
+	"github.com/bulrushferry/bulrushferry/memory"
 	"github.com/bulrushferry/bulrushferry/origin"
 	"github.com/bulrushferry/bulrushferry/socket"
 	"github.com/hashicorp/go-hclog"
@@ -46,6 +47,7 @@
 	startupTime = 5 * clock.Second
 	// reservedDescriptors are kept for files and peers.
 	reservedDescriptors = 200
+	bytesPerMB          = 1 << 20
 
 	memoryTotal    = "/memory/classes/total:bytes"
 	memoryReleased = "/memory/classes/heap/released:bytes"
@@ -87,7 +89,7 @@
 		usage[directory.Descriptors] = float64(o.meter.Open()+o.pool.Open()) / float64(s.MaxFDs-reservedDescriptors)
 	}
 	if s.MemoryMB > 0 {
-		usage[directory.Memory] = memoryUse(float64(s.MemoryMB) * mebibyte)
+		usage[directory.Memory] = memoryUse(float64(s.MemoryMB) * bytesPerMB)
 	}
 	elapsed := float64(current.at - o.last.at)
 	if o.last.at == 0 || elapsed <= 0 {
@@ -125,7 +127,7 @@
 			values[i] = float64(sample.Value.Uint64())
 		}
 	}
-	return max((values[0]-values[1])/limit, values[2]*100/memoryLimitPercent/limit)
+	return max((values[0]-values[1])/limit, values[2]*100/memory.CollectorPercent/limit)
 }
 
 // processCPU returns the processor time that this process has used, in milliseconds.
