Keep what is in force when the platform's store comes back from a copy

Cause: a replica compared versions alone. After a restore versions go back and are assigned again, so changes below the known version were skipped, and a full read at a lower version was ignored or, once past it, taken as it was.

Digests and deltas now carry the era of the store (its answers name it in a header that only platform/ knows). A copy of a table that meets a later era is rebased on the whole table: rows that it has seen replaced within 60 s are not taken back, missing ones stay until they are written again (backend servers for 2.2 s), and peers that know the copy only get both. Answers of an earlier era are rejected. Each instance writes its entry again, spread over a second.

Weighed: taking the copy as it is, keeping everything, comparing contents; see docs/design/restored-store.md.

--- a/fleet/gossip.go
+++ b/fleet/gossip.go
@@ -229,11 +229,8 @@
 	now := g.config.Clock.Now()
 	out := make([]*wire.TableDigest, 0, len(g.config.Tables))
 	for _, table := range g.config.Tables {
-		asOf, known := table.AsOf()
-		if known {
-			out = append(out, &wire.TableDigest{Table: table.Name(), Version: table.Version(), AgeMs: int64(now - asOf)})
-		} else if includeMissing {
-			out = append(out, &wire.TableDigest{Table: table.Name(), AgeMs: int64(now)})
+		if digest, known := table.Digest(now); known || includeMissing {
+			out = append(out, digest)
 		}
 	}
 	return out
@@ -321,10 +318,10 @@
 		if table == nil {
 			continue
 		}
-		if delta := table.DeltaSince(digest.GetVersion(), now); delta != nil {
+		if delta := table.DeltaSince(digest, now); delta != nil {
 			updates.Tables = append(updates.Tables, delta)
 		}
-		peerIsNewer = peerIsNewer || digest.GetVersion() > table.Version()
+		peerIsNewer = peerIsNewer || table.IsOlderThan(digest)
 	}
 	if peerIsNewer {
 		go g.fetch(context.WithoutCancel(ctx), request.GetSender().GetPeerAddress())
--- a/fleet/replica.go
+++ b/fleet/replica.go
@@ -14,7 +14,7 @@
 )
 
 // Replica is this instance's copy of one table of the platform. Its version never
-// decreases. It is safe for concurrent use.
+// decreases within an era of the store. It is safe for concurrent use.
 type Replica struct {
 	name string
 	// onChange gets the keys of the rows that have changed, each once.
@@ -29,10 +29,16 @@
 	logFloor int64
 	// gaps are the ranges of versions that were skipped by a full table. A peer inside
 	// one may hold rows that came and went there, which the log does not show.
-	gaps    []versionGap
+	gaps []versionGap
+	// era counts how often the store came back from a copy. Versions count within it.
+	era     int64
 	version int64
 	asOf    clock.Millis
 	known   bool
+	// carried holds what was kept from an earlier era, by key.
+	carried map[string]carriedRow
+	// replaced are the rows that were changed or removed lately, oldest first.
+	replaced []replacedRow
 	// peersAsOf is the time as of which the platform confirmed the most recent
 	// copy of a peer.
 	peersAsOf clock.Millis
@@ -48,7 +54,7 @@
 // the keys of the rows that have changed, without holding a lock. Calls for changes in a
 // row may come in any order.
 func NewReplica(name string, onChange func(keys []string)) *Replica {
-	return &Replica{name: name, rows: make(map[string]*wire.TableRow), onChange: onChange}
+	return &Replica{name: name, rows: make(map[string]*wire.TableRow), carried: make(map[string]carriedRow), onChange: onChange}
 }
 
 // Name returns the table's name.
@@ -100,12 +106,18 @@
 func (r *Replica) apply(delta *wire.TableDelta, at clock.Millis) (changed bool, keys []string, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !delta.GetFull() && (!r.known || delta.GetSince() > r.version) {
+	if !delta.GetFull() && (!r.known || delta.GetEra() > r.era || delta.GetSince() > r.version) {
 		return false, nil, false
 	}
-	if delta.GetVersion() < r.version {
+	if delta.GetEra() < r.era || (delta.GetEra() == r.era && delta.GetVersion() < r.version) {
 		return false, nil, true
 	}
+	r.forgetReplaced(at)
+	if r.known && delta.GetEra() > r.era {
+		keys = r.rebase(delta, at)
+		return len(keys) > 0, keys, true
+	}
+	r.era = delta.GetEra()
 	first := !r.known
 	if first {
 		r.logFloor = delta.GetVersion()
@@ -116,7 +128,7 @@
 	if delta.GetFull() {
 		rows = append(r.removalsFor(delta), rows...)
 	}
-	keys = r.mergeRows(rows)
+	keys = r.mergeRows(rows, at)
 	r.version = delta.GetVersion()
 	r.asOf = max(r.asOf, at)
 	r.known = true
@@ -131,7 +143,7 @@
 	}
 	var removals []*wire.TableRow
 	for key, row := range r.rows {
-		if _, ok := present[key]; !ok && row.GetVersion() < delta.GetVersion() {
+		if _, ok := present[key]; !ok && row.GetVersion() < delta.GetVersion() && !r.isCarried(key) {
 			removals = append(removals, &wire.TableRow{Key: key, Version: delta.GetVersion(), Removed: true})
 		}
 	}
@@ -140,15 +152,19 @@
 
 // mergeRows applies changed rows in the order of their versions and returns the keys of
 // those that have changed, each once.
-func (r *Replica) mergeRows(rows []*wire.TableRow) []string {
+func (r *Replica) mergeRows(rows []*wire.TableRow, at clock.Millis) []string {
 	rows = append([]*wire.TableRow(nil), rows...)
 	sort.SliceStable(rows, func(i, j int) bool { return rows[i].GetVersion() < rows[j].GetVersion() })
 	changed := make(map[string]struct{}, len(rows))
 	for _, row := range rows {
+		if !r.supersedesCarried(row, at) {
+			continue
+		}
 		old, ok := r.rows[row.GetKey()]
 		if (ok && old.GetVersion() >= row.GetVersion()) || (!ok && row.GetRemoved()) {
 			continue
 		}
+		r.recordReplaced(old, at)
 		if row.GetRemoved() {
 			delete(r.rows, row.GetKey())
 		} else {
@@ -180,31 +196,54 @@
 	return !slices.ContainsFunc(r.gaps, func(gap versionGap) bool { return gap.after < version && version < gap.before })
 }
 
-// DeltaSince returns the changes after a peer's version, or the full table if the log
-// does not cover them. It returns nil if this copy is unknown or older than the
-// peer's.
-func (r *Replica) DeltaSince(version int64, now clock.Millis) *wire.TableDelta {
+// DeltaSince returns the changes after a peer's version, as its digest states it, or the
+// full table if the log does not cover them. It returns nil if this copy is unknown or older
+// than the peer's. Rows that were kept from an earlier era go along while the peer has others.
+func (r *Replica) DeltaSince(peer *wire.TableDigest, now clock.Millis) *wire.TableDelta {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.known || version > r.version {
+	version := peer.GetVersion()
+	if !r.known || peer.GetEra() > r.era || (peer.GetEra() == r.era && version > r.version) {
 		return nil
 	}
-	delta := &wire.TableDelta{Table: r.name, Since: version, Version: r.version, AgeMs: int64(now - r.asOf)}
-	if !r.covers(version) {
+	delta := &wire.TableDelta{Table: r.name, Since: version, Version: r.version, AgeMs: int64(now - r.asOf), Era: r.era}
+	if peer.GetEra() < r.era || !r.covers(version) {
 		delta.Full = true
-		for _, row := range r.rows {
-			delta.Rows = append(delta.Rows, row)
+		for key, row := range r.rows {
+			if !r.isCarried(key) {
+				delta.Rows = append(delta.Rows, row)
+			}
 		}
-		return delta
-	}
-	for _, row := range r.log {
-		if row.GetVersion() > version {
-			delta.Rows = append(delta.Rows, row)
+	} else {
+		for _, row := range r.log {
+			if row.GetVersion() > version && !r.isCarried(row.GetKey()) {
+				delta.Rows = append(delta.Rows, row)
+			}
 		}
 	}
+	if delta.GetFull() || peer.GetCarried() != r.carriedHash() {
+		delta.Rows = append(delta.Rows, r.carriedRows(now)...)
+	}
 	return delta
 }
 
+// IsOlderThan reports whether a peer's copy is of a later era or version.
+func (r *Replica) IsOlderThan(peer *wire.TableDigest) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return peer.GetEra() > r.era || (peer.GetEra() == r.era && peer.GetVersion() > r.version)
+}
+
+// Digest returns the version and age of this copy, and whether the table is known at all.
+func (r *Replica) Digest(now clock.Millis) (*wire.TableDigest, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.known {
+		return &wire.TableDigest{Table: r.name, AgeMs: int64(now)}, false
+	}
+	return &wire.TableDigest{Table: r.name, Version: r.version, AgeMs: int64(now - r.asOf), Era: r.era, Carried: r.carriedHash()}, true
+}
+
 // Row returns the row with a key, or nil if there is none.
 func (r *Replica) Row(key string) *wire.TableRow {
 	r.mu.Lock()
--- a/fleet/replica_test.go
+++ b/fleet/replica_test.go
@@ -82,7 +82,7 @@
 	r.Apply(&wire.TableDelta{Version: 3, Full: true}, 0)
 	peer := NewReplica("t", func([]string) {})
 	peer.Apply(&wire.TableDelta{Version: 2, Full: true, Rows: []*wire.TableRow{row("a", 2)}}, 0)
-	peer.Apply(r.DeltaSince(peer.Version(), 0), 0)
+	peer.Apply(r.DeltaSince(&wire.TableDigest{Version: peer.Version()}, 0), 0)
 	if rows := peer.Rows(); len(rows) > 0 || peer.Version() != 3 {
 		t.Errorf("holds %v at version %d, want nothing at version 3", rows, peer.Version())
 	}
@@ -96,7 +96,7 @@
 	r.Apply(&wire.TableDelta{Since: 1, Version: 2, Rows: []*wire.TableRow{row("c", 2)}}, 0)
 	r.Apply(&wire.TableDelta{Version: 9, Full: true, Rows: []*wire.TableRow{row("a", 1), row("d", 8)}}, 0)
 	for version, full := range map[int64]bool{1: false, 2: false, 3: true, 8: true, 9: false} {
-		if delta := r.DeltaSince(version, 0); delta.GetFull() != full {
+		if delta := r.DeltaSince(&wire.TableDigest{Version: version}, 0); delta.GetFull() != full {
 			t.Errorf("a peer at version %d gets the full table: %v, want %v", version, delta.GetFull(), full)
 		}
 	}
@@ -130,7 +130,7 @@
 			all := append([]*Replica{source}, replicas...)
 			from := rapid.SampledFrom(all).Draw(t, "from")
 			to := rapid.SampledFrom(replicas).Draw(t, "to")
-			if delta := from.DeltaSince(to.Version(), 0); delta != nil {
+			if delta := from.DeltaSince(&wire.TableDigest{Version: to.Version()}, 0); delta != nil {
 				to.Apply(delta, 0)
 			}
 			for _, r := range all {
--- a/soak/server_test.go
+++ b/soak/server_test.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -42,6 +43,9 @@
 		// storeAvailableTime returns how long the store was available between two times.
 		storeAvailableTime func(from, to time.Time) time.Duration
 
+		// runs counts the requests that the server has run.
+		runs atomic.Int64
+
 		// restartMu serializes restarts.
 		restartMu sync.Mutex
 		// mu guards the fields below.
@@ -172,6 +176,7 @@
 	b.mu.Lock()
 	late := !b.drainingSince.IsZero() && b.storeAvailableTime(b.drainingSince, time.Now()) > maxDrainingDelay
 	b.mu.Unlock()
+	b.runs.Add(1)
 	b.requestLog.record(id, string(request.Header.Peek("X-Bulrushferry-Tenant")), len(request.Header.Peek("X-Bulrushferry-Credential")) > 0, late)
 	time.Sleep(b.serviceTime)
 	body := "ran " + id
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -156,6 +156,7 @@
 	all := maps.Clone(faults)
 	if _, failed := failedSeeds[seed]; !failed {
 		maps.Copy(all, noticeFaults)
+		maps.Copy(all, restoreFaults)
 	}
 	return all
 }
--- a/soak/store_test.go
+++ b/soak/store_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"sync"
@@ -27,6 +29,18 @@
 		// compactedVersion is the last version whose change has been removed from the
 		// history.
 		compactedVersion int64
+		// journal holds all changes since the start, with their times. era counts how often
+		// the store came back from a copy of an earlier state.
+		journal []journalEntry
+		era     int64
+		// restoredVersion is the version of the latest copy that the store came back from.
+		restoredVersion int64
+	}
+
+	// journalEntry is a change and when it was made.
+	journalEntry struct {
+		row storeRow
+		at  time.Time
 	}
 
 	outage struct{ from, to time.Time }
@@ -80,6 +94,51 @@
 func (s *store) apply(row storeRow) {
 	s.version++
 	row.Version = s.version
+	s.store(row)
+	s.changes = append(s.changes, row)
+	s.journal = append(s.journal, journalEntry{row: row, at: time.Now()})
+	s.wakeReaders()
+}
+
+// wakeReaders ends the waits of the feed's readers. The caller must hold s.mu.
+func (s *store) wakeReaders() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// restore has the store come back from a copy of the given age. What was written since is
+// gone, and its versions are given out again. It returns the latest change of each row of
+// operators and backend servers that was lost.
+func (s *store) restore(age time.Duration) []storeRow {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	cut := time.Now().Add(-age)
+	kept := slices.IndexFunc(s.journal, func(entry journalEntry) bool { return entry.at.After(cut) })
+	lost := make(map[string]storeRow)
+	if kept >= 0 {
+		for _, entry := range s.journal[kept:] {
+			if entry.row.Table == "op" || entry.row.Table == "servers" {
+				lost[entry.row.Table+"/"+entry.row.Key] = entry.row
+			}
+		}
+		s.journal = s.journal[:kept]
+	}
+	s.era++
+	s.rows, s.changes = make(map[string]map[string]storeRow), nil
+	s.version = 1
+	for _, entry := range s.journal {
+		s.store(entry.row)
+		s.changes = append(s.changes, entry.row)
+		s.version = entry.row.Version
+	}
+	s.restoredVersion = s.version
+	s.compactedVersion = min(s.compactedVersion, s.version)
+	s.wakeReaders()
+	return slices.Collect(maps.Values(lost))
+}
+
+// store puts a change into the tables. The caller must hold s.mu.
+func (s *store) store(row storeRow) {
 	if s.rows[row.Table] == nil {
 		s.rows[row.Table] = make(map[string]storeRow)
 	}
@@ -88,9 +147,6 @@
 	} else {
 		s.rows[row.Table][row.Key] = row
 	}
-	s.changes = append(s.changes, row)
-	close(s.changed)
-	s.changed = make(chan struct{})
 }
 
 // setUnavailable starts or ends an outage.
@@ -138,6 +194,7 @@
 // rejectIfUnavailable responds with 503 during an outage and reports whether it did. The
 // caller must hold s.mu.
 func (s *store) rejectIfUnavailable(w http.ResponseWriter) bool {
+	w.Header().Set("Store-Era", strconv.FormatInt(s.era, 10))
 	if s.unavailable {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
@@ -174,7 +231,7 @@
 			s.mu.Unlock()
 			return
 		}
-		if after < s.compactedVersion {
+		if after < s.compactedVersion || after > s.version {
 			s.mu.Unlock()
 			w.WriteHeader(http.StatusGone)
 			return
--- a/steering/adapter.go
+++ b/steering/adapter.go
@@ -79,6 +79,9 @@
 		// Instances returns the entries of all registered instances, and the rows
 		// that hold none.
 		Instances(ctx context.Context) ([]*wire.FleetInstance, []InvalidRow, error)
+		// Era returns how often the store came back from a copy that lacks the latest
+		// writes, as far as its answers have shown.
+		Era() int64
 	}
 
 	// Following tells how a Store keeps a replica up to date.
--- a/steering/join.go
+++ b/steering/join.go
@@ -130,11 +130,13 @@
 func (p process) register(ctx context.Context) (registered, replaced bool) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
+	era := p.Adapter.Store.Era()
 	replaced, err := p.Adapter.Store.Register(ctx, p.Members.Self())
 	if err != nil {
 		p.Log.Warn("registering this instance failed", "error", err.Error())
 		return false, false
 	}
+	p.Membership.setRegisteredEra(era)
 	return true, replaced
 }
 
--- a/steering/membership.go
+++ b/steering/membership.go
@@ -42,6 +42,8 @@
 	partGivenUp bool
 	// startedAt is when this process started.
 	startedAt clock.Millis
+	// registeredEra is the era of the store in which this instance's entry was stored last.
+	registeredEra int64
 }
 
 // joining tells how an instance has joined the fleet.
--- a/steering/run.go
+++ b/steering/run.go
@@ -117,6 +117,7 @@
 	go p.Gossip.Run(background)
 	go p.RateLimiter.Run(background)
 	go p.refreshPeriodically(background)
+	go p.followRestores(background)
 	go func() { _ = p.Gateway.Serve(listener) }()
 	go p.watchSettings(background, hangups)
 	p.Log.Info("entry instance started", "incarnation", p.Members.Self().GetIncarnation(), "callers", p.Adapter.Settings.CallerAddress)
--- a/steering/steering_test.go
+++ b/steering/steering_test.go
@@ -161,7 +161,7 @@
 			row := &wire.TableRow{Key: "a", Value: []byte(value), Version: version, Removed: value == "removed"}
 			state.Servers.Apply(&wire.TableDelta{Since: version - 1, Version: version, Rows: []*wire.TableRow{row}}, 0)
 		}
-		peer.Servers.Apply(state.Servers.DeltaSince(peer.Servers.Version(), 0), 0)
+		peer.Servers.Apply(state.Servers.DeltaSince(&wire.TableDigest{Version: peer.Servers.Version()}, 0), 0)
 	}
 	learn("new")
 	learn("draining", "draining")
