--- a/steering/adapter.go
+++ b/steering/adapter.go
@@ -88,6 +88,9 @@
 		Deregister(ctx context.Context, info *wire.FleetInstance) error
 		// Instances returns the list of all registered instances.
 		Instances(ctx context.Context) (Listing, error)
+		// Era returns how often the store came back from a copy that lacks the latest
+		// writes, as far as its answers have shown.
+		Era() int64
 	}
 
 	// Listing is the platform's list of instances.
--- a/steering/join.go
+++ b/steering/join.go
@@ -122,10 +122,12 @@
 			p.Members.SetStart(max(now-(sentAt-p.Membership.startedAt), 1), fleet.ClassifyStart(earlier, now))
 		}
 	}
+	era := p.Adapter.Store.Era()
 	if err := p.Adapter.Store.Register(ctx, p.Members.Self()); err != nil {
 		p.Log.Warn("registering this instance failed", "error", err.Error())
 		return false
 	}
+	p.Membership.setRegisteredEra(era)
 	how.registeredAt = clock.BootTime{}.Now()
 	return true
 }
