placement: let requests yield room and bound their time in servers' queues

Cause: servers serve their queues in the order of arrival. Requests with a long objective may fill them for longer than the objective of an urgent type, and all slots are taken when an urgent request arrives.

A query can yield: it does not queue at a server and leaves a sixth of the slots, at least one, free; if its own servers are fuller than that it takes any server with room. Nothing sets these yet; without them a choice is made as before.

--- a/placement/choose.go
+++ b/placement/choose.go
@@ -30,6 +30,15 @@
 		// LatencyLimit is the expected latency above which a request that would
 		// have to queue is refused.
 		LatencyLimit clock.Millis
+		// QueueLimit is the expected time in a server's queue above which the request is
+		// refused; zero means that only LatencyLimit bounds it.
+		QueueLimit clock.Millis
+		// Yields is set where the request leaves room for others: it does not queue, and
+		// leaves a part of each server's slots free.
+		Yields bool
+		// MayWait is set where the request waits for room if there is none, so that having
+		// none is not a refusal yet.
+		MayWait bool
 	}
 
 	// Choice is a request's assignment to a server. It is released with Done.
@@ -98,6 +107,11 @@
 	noServerRetryAfter = 300 * clock.Millis(1)
 	// minRetryAfter is the shortest delay that refused callers are given.
 	minRetryAfter = 50 * clock.Millis(1)
+	// reservedDivisor is the part, as a divisor, of a server's slots that requests which yield
+	// leave free for those that arrive before the server's next report. A server with fewer
+	// than minReservingSlots would have too few left.
+	reservedDivisor   = 6
+	minReservingSlots = 3
 	// probeInterval is the interval of the requests of a route that are sent although
 	// they are expected to take too long at a server with a free slot.
 	probeInterval = clock.Second
@@ -115,8 +129,7 @@
 	}
 	s := best.state
 	if !b.isInTime(now, q, best) {
-		b.recordRefusal(now, q, candidates[0].state.info.Region)
-		b.recordOverload(now, q.Service)
+		b.recordNoRoom(now, q, candidates[0].state.info.Region)
 		excess := best.latency - min(q.TimeLeft, q.LatencyLimit)
 		return nil, &Refusal{
 			Reason:     "the backend servers of service " + q.Service + " have no room in time",
@@ -155,6 +168,12 @@
 // wait is refused only if the learned latencies exceed its time. They are learned from
 // requests that are sent, so one in each probeInterval is sent nevertheless.
 func (b *Balancer) isInTime(now clock.Millis, q Query, c *candidate) bool {
+	if q.Yields && !c.state.hasRoom(now, q) {
+		return false
+	}
+	if q.QueueLimit > 0 && c.queueTime > q.QueueLimit {
+		return false
+	}
 	if c.queueTime > 0 {
 		return c.latency <= q.TimeLeft && (c.fewSamples || c.latency <= q.LatencyLimit)
 	}
@@ -169,6 +188,15 @@
 	return true
 }
 
+// hasRoom reports whether the server has a free slot that the request may take.
+func (s *serverState) hasRoom(now clock.Millis, q Query) bool {
+	slots := s.info.Slots
+	if q.Yields && slots >= minReservingSlots {
+		slots -= max(1, slots/reservedDivisor)
+	}
+	return s.load(now) < slots
+}
+
 // pick selects a candidate within the bound on the share of shifted requests. It
 // returns nil if there is none.
 func (b *Balancer) pick(now clock.Millis, q Query, candidates []candidate) *candidate {
--- a/placement/idle.go
+++ b/placement/idle.go
@@ -10,11 +10,12 @@
 
 // preferIdle replaces a candidate that would queue by a server with a free
 // slot, if that server is expected to respond sooner and within the objective.
+// A request that yields may not queue, so it takes a slower one too.
 // It looks only in the candidate's region and, unless sameRegion is set, in
 // this instance's region, so that a load peak does not move requests to further
 // regions.
 func (b *Balancer) preferIdle(now clock.Millis, q Query, best *candidate, sameRegion bool) *candidate {
-	if best == nil || best.queueTime == 0 {
+	if best == nil || (best.queueTime == 0 && (!q.Yields || best.state.hasRoom(now, q))) {
 		return best
 	}
 	regions := values.NewSet(best.state.info.Region)
@@ -22,7 +23,7 @@
 		regions = regions.With(b.config.Region)
 	}
 	idle := b.idleServer(now, q, regions)
-	if idle == nil || idle.latency > q.Objective || idle.latency+b.localityPenalty(idle) >= best.latency+b.localityPenalty(best) {
+	if idle == nil || idle.latency > q.Objective || (!q.Yields && idle.latency+b.localityPenalty(idle) >= best.latency+b.localityPenalty(best)) {
 		return best
 	}
 	return idle
@@ -67,7 +68,7 @@
 // preferred. It reports whether the server may be used.
 func (b *Balancer) considerIdle(now clock.Millis, q Query, c candidate, best *candidate) bool {
 	s := c.state
-	if s.load(now) >= s.info.Slots || s.isFull(now) || !b.usable(now, q, s, true) {
+	if !s.hasRoom(now, q) || s.isFull(now) || !b.usable(now, q, s, true) {
 		return false
 	}
 	c.warm = q.Object == 0 || s.isWarmFor(q.Object, now)
--- a/placement/refusal.go
+++ b/placement/refusal.go
@@ -159,6 +159,18 @@
 	}
 }
 
+// recordNoRoom records that there was no room in time for a request whose object belongs to a
+// region. A request that yields leaves room by intent.
+func (b *Balancer) recordNoRoom(now clock.Millis, q Query, region string) {
+	if q.Yields {
+		return
+	}
+	b.recordRefusal(now, q, region)
+	if !q.MayWait {
+		b.recordOverload(now, q.Service)
+	}
+}
+
 // recordOverload counts a refusal for want of room.
 func (b *Balancer) recordOverload(now clock.Millis, service string) {
 	o, ok := b.overloads[service]
