steering: one file for each step of a request's path

Moves code only: authenticate, admit, forward (the loop over attempts), choose, attempt and answer. handler.go keeps the types, the preparation and the entry; constants move with the code that uses them.

--- a/steering/attempt.go
+++ b/steering/attempt.go
@@ -1,79 +1,23 @@
 package steering
 
 import (
-	"math"
 	"strconv"
 
 	"github.com/bulrushferry/bulrushferry/clock"
 	"github.com/bulrushferry/bulrushferry/origin"
 	"github.com/bulrushferry/bulrushferry/placement"
 	"github.com/bulrushferry/bulrushferry/routing"
-	"github.com/bulrushferry/bulrushferry/values"
 	"github.com/cespare/xxhash/v2"
 	"github.com/rcrowley/go-metrics"
-	"github.com/valyala/fasthttp"
 )
 
 const (
-	// maxServersTried is how many backend servers are tried, including unreachable
-	// ones, before a failed attempt or one without a response is no longer retried.
-	// Declined attempts and those without a connection are always followed by another
-	// one.
-	maxServersTried = 4
 	// latencyReservoirSize and latencyDecayAlpha are the size and the decay factor of
 	// the exponentially decaying sample of each route's latencies.
 	latencyReservoirSize = 256
 	latencyDecayAlpha    = 0.015
 )
 
-// forward sends the request to one backend server after another until one of them
-// responds or no further attempt is allowed.
-func (h *Handler) forward(req *callerRequest) {
-	if h.config.Crashes.AnyQuarantined() && h.config.Crashes.IsQuarantined(req.startedAt, req.fingerprint()) {
-		h.refuse(req, fasthttp.StatusServiceUnavailable, "the request has crashed backend servers", quarantineRetryAfter)
-		return
-	}
-	req.service = req.route.PickService()
-	h.config.RetryBudget.Deposit(req.service)
-	tried := values.NewSet[string]()
-	sent, maybeRan := 0, false
-	for {
-		left := req.deadline - h.config.Clock.Now()
-		if left <= 0 || req.ctx.Err() != nil {
-			h.giveUp(req, maybeRan, "the deadline has passed", 0)
-			return
-		}
-		if reason := h.revocation(req); reason != "" {
-			h.giveUp(req, maybeRan, reason, startupRetryAfter)
-			return
-		}
-		choice, refusal := h.config.Balancer.Choose(h.config.Clock.Now(), h.placementQuery(req, tried, left))
-		if refusal != nil {
-			h.giveUp(req, maybeRan, refusal.Reason, refusal.RetryAfter, refusalFields(refusal)...)
-			return
-		}
-		if !h.endsInTime(req, left, choice.ExpectedLatency) {
-			h.config.Balancer.Done(h.config.Clock.Now(), choice, placement.Result{Outcome: placement.Canceled})
-			h.giveUp(req, maybeRan, "this instance stops before the request would end", 0, "expected_ms", int64(choice.ExpectedLatency), "left_ms", int64(left))
-			return
-		}
-		if sent > 0 && !h.config.RetryBudget.TryWithdraw(req.service) {
-			h.config.Balancer.Done(h.config.Clock.Now(), choice, placement.Result{Outcome: placement.Canceled})
-			h.giveUp(req, maybeRan, "the retry budget is spent", choice.ExpectedLatency)
-			return
-		}
-		response, outcome := h.attempt(req, choice, left)
-		tried = tried.With(choice.Server.ID)
-		if wasSent(outcome) {
-			sent++
-		}
-		maybeRan = maybeRan || mayHaveRun(outcome)
-		if h.handleOutcome(req, response, outcome, sent, tried.Len()) {
-			return
-		}
-	}
-}
-
 // wasSent reports whether any byte of the request may have reached the backend server.
 func wasSent(outcome placement.Outcome) bool {
 	return outcome != placement.Unreachable && outcome != placement.ConnectionLimit && outcome != placement.Withheld
@@ -84,79 +28,6 @@
 	return outcome == placement.ResponseLost || outcome == placement.TimedOut || outcome == placement.Failed || outcome == placement.Canceled
 }
 
-// handleOutcome reports whether the outcome of an attempt is final. If it is, the request
-// has been responded to, unless it was canceled. The response is nil unless a server has
-// answered or failed.
-func (h *Handler) handleOutcome(req *callerRequest, response *origin.Response, outcome placement.Outcome, sent, tried int) bool {
-	canRetry := sent < req.route.MaxAttempts && tried < maxServersTried
-	idempotent := req.route.Mode == routing.Idempotent
-	switch outcome {
-	case placement.Answered:
-		req.respond(response)
-		return true
-	case placement.Failed:
-		req.keepFailure(response)
-		if idempotent && canRetry {
-			return false
-		}
-		req.respondWithFailure()
-		return true
-	case placement.TimedOut:
-		h.refuse(req, fasthttp.StatusGatewayTimeout, "no answer came in time", 0)
-		return true
-	case placement.Canceled:
-		return true
-	case placement.ResponseLost:
-		if idempotent && canRetry {
-			return false
-		}
-		if !req.respondWithFailure() {
-			h.refuse(req, fasthttp.StatusBadGateway, "the answer was lost", 0)
-		}
-		return true
-	default:
-		return false
-	}
-}
-
-// respond passes a server's response on to the caller.
-func (req *callerRequest) respond(response *origin.Response) {
-	req.exchange.Respond(response.Message(), response.Release)
-}
-
-// keepFailure keeps the failure of the last server that has failed, in case no other
-// server answers.
-func (req *callerRequest) keepFailure(response *origin.Response) {
-	req.failure.Release()
-	req.failure = response
-}
-
-// respondWithFailure passes on the failure that was kept. It reports whether there is one.
-func (req *callerRequest) respondWithFailure() bool {
-	if req.failure == nil {
-		return false
-	}
-	req.respond(req.failure)
-	req.failure = nil
-	return true
-}
-
-// placementQuery describes the request to the balancer. Servers in tried are excluded;
-// left is the time until the deadline.
-func (h *Handler) placementQuery(req *callerRequest, tried values.Set[string], left clock.Millis) placement.Query {
-	return placement.Query{
-		Service:       req.service,
-		Route:         req.route.Name,
-		Object:        req.affinityKey,
-		RegionAllowed: func(region string) bool { return req.route.AllowsRegion(req.workspace, region) },
-		Exclude:       tried,
-		Idempotent:    req.route.Mode == routing.Idempotent,
-		TimeLeft:      left,
-		Objective:     req.route.Objective,
-		LatencyLimit:  req.latencyLimit,
-	}
-}
-
 // attempt sends the request to one backend server and reports the outcome to the balancer
 // and to the crash tracker. It returns the server's response if there is one.
 func (h *Handler) attempt(req *callerRequest, choice *placement.Choice, left clock.Millis) (*origin.Response, placement.Outcome) {
@@ -255,37 +126,3 @@
 		"service", req.service, "outcome", outcome.String(), "reason", reason, "took_ms", int64(elapsed),
 		"expected_ms", int64(choice.ExpectedLatency), "left_ms", int64(req.deadline-req.startedAt), "cold", choice.Cold)
 }
-
-// giveUp ends a request for which no further attempt is made. It responds with 503 only
-// if no backend server can have run the request. Otherwise it passes on the last whole
-// failure of a server, or responds with 502 if there is none.
-func (h *Handler) giveUp(req *callerRequest, maybeRan bool, reason string, retryAfter clock.Millis, fields ...any) {
-	if !maybeRan {
-		h.refund(req)
-		h.refuse(req, fasthttp.StatusServiceUnavailable, reason, retryAfter, fields...)
-		return
-	}
-	if !req.respondWithFailure() {
-		h.refuse(req, fasthttp.StatusBadGateway, reason, 0, fields...)
-	}
-}
-
-// refusalFields returns the log fields that say what a refusal was based on.
-func refusalFields(refusal *placement.Refusal) []any {
-	if excluded := refusal.Exclusions; excluded != nil {
-		return []any{
-			"servers", excluded.Counted, "not_accepting", excluded.NotAccepting, "leaving", excluded.Leaving, "paused", excluded.Paused,
-			"gone", excluded.Gone, "tried", excluded.Tried, "failing", excluded.Failing, "cold", excluded.Cold,
-		}
-	}
-	best := refusal.Best
-	if best == nil {
-		return nil
-	}
-	return []any{
-		"server", best.Server, "candidates", best.Candidates, "fanout", best.Fanout, "expected_ms", int64(best.Latency),
-		"limit_ms", int64(best.Limit), "base_ms", int64(best.BaseLatency), "queue_ms", int64(best.QueueTime),
-		"factor", math.Round(best.LatencyFactor*100) / 100, "in_flight", best.InFlight, "load", best.Load, "slots", best.Slots,
-		"report_age_ms", int64(best.ReportAge), "warm", best.Warm, "cold", best.Cold,
-	}
-}
--- /dev/null
+++ b/steering/forward.go
@@ -0,0 +1,66 @@
+package steering
+
+import (
+	"github.com/bulrushferry/bulrushferry/clock"
+	"github.com/bulrushferry/bulrushferry/placement"
+	"github.com/bulrushferry/bulrushferry/values"
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	// maxServersTried is how many backend servers are tried, including unreachable
+	// ones, before a failed attempt or one without a response is no longer retried.
+	// Declined attempts and those without a connection are always followed by another
+	// one.
+	maxServersTried = 4
+	// quarantineRetryAfter is the Retry-After of a quarantined request.
+	quarantineRetryAfter = 10 * clock.Second
+)
+
+// forward sends the request to one backend server after another until one of them
+// responds or no further attempt is allowed.
+func (h *Handler) forward(req *callerRequest) {
+	if h.config.Crashes.AnyQuarantined() && h.config.Crashes.IsQuarantined(req.startedAt, req.fingerprint()) {
+		h.refuse(req, fasthttp.StatusServiceUnavailable, "the request has crashed backend servers", quarantineRetryAfter)
+		return
+	}
+	req.service = req.route.PickService()
+	h.config.RetryBudget.Deposit(req.service)
+	tried := values.NewSet[string]()
+	sent, maybeRan := 0, false
+	for {
+		left := req.deadline - h.config.Clock.Now()
+		if left <= 0 || req.ctx.Err() != nil {
+			h.giveUp(req, maybeRan, "the deadline has passed", 0)
+			return
+		}
+		if reason := h.revocation(req); reason != "" {
+			h.giveUp(req, maybeRan, reason, startupRetryAfter)
+			return
+		}
+		choice, refusal := h.config.Balancer.Choose(h.config.Clock.Now(), h.placementQuery(req, tried, left))
+		if refusal != nil {
+			h.giveUp(req, maybeRan, refusal.Reason, refusal.RetryAfter, refusalFields(refusal)...)
+			return
+		}
+		if !h.endsInTime(req, left, choice.ExpectedLatency) {
+			h.config.Balancer.Done(h.config.Clock.Now(), choice, placement.Result{Outcome: placement.Canceled})
+			h.giveUp(req, maybeRan, "this instance stops before the request would end", 0, "expected_ms", int64(choice.ExpectedLatency), "left_ms", int64(left))
+			return
+		}
+		if sent > 0 && !h.config.RetryBudget.TryWithdraw(req.service) {
+			h.config.Balancer.Done(h.config.Clock.Now(), choice, placement.Result{Outcome: placement.Canceled})
+			h.giveUp(req, maybeRan, "the retry budget is spent", choice.ExpectedLatency)
+			return
+		}
+		response, outcome := h.attempt(req, choice, left)
+		tried = tried.With(choice.Server.ID)
+		if wasSent(outcome) {
+			sent++
+		}
+		maybeRan = maybeRan || mayHaveRun(outcome)
+		if h.handleOutcome(req, response, outcome, sent, tried.Len()) {
+			return
+		}
+	}
+}
--- a/steering/handler.go
+++ b/steering/handler.go
@@ -85,22 +85,6 @@
 	// startupRetryAfter is the Retry-After of an instance that has no configuration,
 	// has not joined the fleet or has no authority.
 	startupRetryAfter = 200 * clock.Millis(1)
-	// rateLimitRetryAfter is the Retry-After of a request over its workspace's rate.
-	rateLimitRetryAfter = 400 * clock.Millis(1)
-	// quarantineRetryAfter is the Retry-After of a quarantined request.
-	quarantineRetryAfter = 10 * clock.Second
-	// retryAfterDivisor limits Retry-After to a third of the time left until the
-	// request's deadline.
-	retryAfterDivisor = 3
-	// refundTime is how long after its admission a request that was not run gives its
-	// token back.
-	refundTime = 500 * clock.Millis(1)
-	// stopLatencyFactor is how many times its expected latency a request must have left
-	// before the instance stops.
-	stopLatencyFactor = 2
-	// stopPeakPercent is the same for the longest time that a server has taken lately, in
-	// percent, for requests that may not be repeated.
-	stopPeakPercent = 125
 	// defaultTimeout applies to routes without a timeout.
 	defaultTimeout = 30 * clock.Second
 )
@@ -116,22 +100,6 @@
 	h.stopsAt.Store(int64(h.config.Clock.Now() + after))
 }
 
-// endsInTime reports whether a request with some time left that is expected to take a
-// latency can end before the instance stops. One that may not be repeated must also be able to
-// take somewhat longer than the slowest of its service lately.
-func (h *Handler) endsInTime(req *callerRequest, left, expected clock.Millis) bool {
-	stopsAt := clock.Millis(h.stopsAt.Load())
-	if stopsAt == 0 {
-		return true
-	}
-	now := h.config.Clock.Now()
-	needed := stopLatencyFactor * expected
-	if req.route.Mode != routing.Idempotent {
-		needed = max(needed, h.peaks.get(now, req.service)*stopPeakPercent/100)
-	}
-	return min(left, needed) < stopsAt-now
-}
-
 // Close makes the handler refuse new requests. During shutdown a request that is
 // accepted late might not finish before the process ends.
 func (h *Handler) Close() {
@@ -180,39 +148,6 @@
 	return true
 }
 
-// authenticate looks up the workspace by the request's key. Open routes, and
-// configurations without workspaces, need no key.
-func (h *Handler) authenticate(req *callerRequest) bool {
-	if req.route.Open || len(req.config.Workspaces) == 0 {
-		return true
-	}
-	key := string(req.exchange.Request.Header.Peek(h.config.Headers.APIKey))
-	workspace, ok := req.config.WorkspaceByKey(key)
-	if !ok {
-		return h.refuse(req, fasthttp.StatusUnauthorized, "the key is not known", 0)
-	}
-	req.workspace = workspace
-	req.key = key
-	return true
-}
-
-// revocation returns why this instance may no longer send a request that it has accepted,
-// or an empty string if it may. The request may have waited, or this process may have been
-// paused, since it was accepted.
-func (h *Handler) revocation(req *callerRequest) string {
-	if !h.config.ControlState.HasAuthority() {
-		return "this instance is cut off"
-	}
-	current := h.config.ControlState.Config()
-	if current == req.config || req.workspace == nil {
-		return ""
-	}
-	if workspace, ok := current.WorkspaceByKey(req.key); !ok || workspace.Name != req.workspace.Name {
-		return "the key was withdrawn while the request waited"
-	}
-	return ""
-}
-
 // timeLimit returns the total time for the request: the route's timeout or, if
 // shorter, the caller's deadline less responseMargin.
 func (h *Handler) timeLimit(req *callerRequest) clock.Millis {
@@ -252,60 +187,3 @@
 	}
 	return xxhash.Sum64(value) | 1
 }
-
-// admit checks that this instance may serve requests and that the workspace is within
-// its rate. It reports whether handling continues; if not, the response has been set.
-func (h *Handler) admit(req *callerRequest) bool {
-	if h.closed.Load() {
-		return h.refuse(req, fasthttp.StatusServiceUnavailable, "this instance stops", 0)
-	}
-	if !h.config.ControlState.Joined() {
-		return h.refuse(req, fasthttp.StatusServiceUnavailable, "this instance has not joined the fleet yet", startupRetryAfter)
-	}
-	if !h.config.ControlState.HasAuthority() {
-		return h.refuse(req, fasthttp.StatusServiceUnavailable, "this instance is cut off", startupRetryAfter)
-	}
-	if req.workspace == nil || req.workspace.RatePerS <= 0 {
-		return true
-	}
-	if !h.config.RateLimiter.Admit(req.ctx, req.workspace.Name) {
-		return h.refuse(req, fasthttp.StatusTooManyRequests, "workspace "+req.workspace.Name+" is over its rate", rateLimitRetryAfter, h.config.RateLimiter.Describe(req.workspace.Name)...)
-	}
-	req.admittedAt = h.config.Clock.Now()
-	return true
-}
-
-// refund gives back the token of a request that was not run. Later than refundTime the
-// workspace's bucket has filled up meanwhile, and the token would come on top.
-func (h *Handler) refund(req *callerRequest) {
-	if req.admittedAt > 0 && h.config.Clock.Now()-req.admittedAt < refundTime {
-		h.config.RateLimiter.Refund(req.workspace.Name)
-	}
-}
-
-// refuse sets an error response and logs it. A 503 or 429 carries a Retry-After that is
-// limited by the time left until the deadline. The fields are added to the log line. It
-// always returns false.
-func (h *Handler) refuse(req *callerRequest, status int, reason string, retryAfter clock.Millis, fields ...any) bool {
-	response := gateway.NewErrorResponse(status, reason)
-	req.exchange.Respond(response, func() { fasthttp.ReleaseResponse(response) })
-	if req.id != "" {
-		response.Header.Set(h.config.Headers.RequestID, req.id)
-	}
-	now := h.config.Clock.Now()
-	if status == fasthttp.StatusServiceUnavailable || status == fasthttp.StatusTooManyRequests {
-		if req.deadline > 0 {
-			retryAfter = min(retryAfter, (req.deadline-now)/retryAfterDivisor)
-		}
-		gateway.SetRetryAfter(response, max(retryAfter, 0))
-	}
-	metrics.GetOrRegisterCounter("refusals."+strconv.Itoa(status), h.config.Metrics).Inc(1)
-	version := int64(0)
-	if req.config != nil {
-		version = req.config.Version
-	}
-	fields = append([]any{"request", req.id, "status", status, "reason", reason, "config", version,
-		"retry_after_ms", int64(retryAfter), "held_ms", int64(now - req.startedAt)}, fields...)
-	h.config.Log.Info("request refused", fields...)
-	return false
-}
