steering: requests wait for room, yield to urgent ones, and return in turn

Cause: where no server has room in time a request was refused at once, with a Retry-After of 50 to 300 ms, whatever its urgency. Servers' queues fill with requests of long objectives, and urgent ones find no room.

A request without room now waits, at most until the first eighth of its objective, in its service's queue. The end of a request at a server and a change of the list of servers offer the room to the first waiting requests; a newcomer is tried after the first one that comes before it. Nothing polls. With nobody waiting no lock is taken. A refusal for want of room books its Retry-After with the admission package. While urgent requests lack room, less urgent ones yield for three seconds after the last time.

Weighed: requests that wait or yield may take any free server, as a first try may. They now take only their own servers and those that are warm for them.

PlacementOnly is the policy before; it is not among the baselines of TestProductIsNoWorseThanBaselines, whose set is as before.

Tests: waiting ends with room, with a new server, and with a refusal in an eighth of the objective, on real sockets; loads replayed in the emulator.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -76,13 +76,17 @@
 
 // RecordArrival records a request whose standing was asked for, and whether there was no room
 // for it. Requests that yield do not count as short: others take their room by intent.
-func (c *Controller) RecordArrival(now clock.Millis, r Request, standing Standing, short bool) {
+// It returns the own level and whether it has come into force or got another priority.
+func (c *Controller) RecordArrival(now clock.Millis, r Request, standing Standing, short bool) (level Level, changed bool) {
 	if standing.Yields {
-		return
+		return Level{}, false
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.service(r.Service).own.record(now, r.Priority, r.Objective, short)
+	own := &c.service(r.Service).own
+	before := own.level
+	own.record(now, r.Priority, r.Objective, short)
+	return own.level.Level, own.level.inForce(now) && (!before.inForce(now) || own.level.Priority != before.Priority)
 }
 
 // Place returns where a request waits whose time ends at a deadline.
--- a/emulator/config.go
+++ b/emulator/config.go
@@ -34,6 +34,24 @@
 		LoadAmplitude float64      `json:"swing"`
 		LoadPeriod    clock.Millis `json:"wave_period_ms"`
 		Seed          uint64       `json:"seed"`
+		// Retries is how often a caller sends a refused request again; zero means once.
+		Retries int     `json:"retries"`
+		Surges  []Surge `json:"surges"`
+		// NoExchange is set where the instances hear nothing from each other.
+		NoExchange bool `json:"no_exchange"`
+	}
+
+	// Surge is a time during which more requests of a kind arrive.
+	Surge struct {
+		Kind string `json:"kind"`
+		// From and To bound the time.
+		From clock.Millis `json:"from_ms"`
+		To   clock.Millis `json:"to_ms"`
+		// Factor is the factor by which the rate rises. With OneWorkspace set it is that
+		// of workspace number Workspace, which sends all of what comes on top.
+		Factor       float64 `json:"factor"`
+		OneWorkspace bool    `json:"one_workspace"`
+		Workspace    int     `json:"workspace"`
 	}
 
 	// FailureDomain is a failure domain and the region it belongs to.
@@ -92,6 +110,8 @@
 		Idempotent bool         `json:"safe"`
 		// Bytes is the size of a request and its response together.
 		Bytes int `json:"bytes"`
+		// Priority is the priority of the requests; 0 is the most urgent.
+		Priority int `json:"priority"`
 	}
 )
 
@@ -107,9 +127,9 @@
 			{Name: "pedidos", Servers: 12, Slots: 3, QueueCapacity: 6, MaxWarmObjects: 48},
 		},
 		RequestKinds: []RequestKind{
-			{"fitting-view", "probador", 160, 70, 640, 233, 400, 3000, 1, 0.2, true, 0},
-			{"frame-hold", "probador", 70, 70, 840, 306, 600, 4000, 2, 0.4, false, 0},
-			{"lens-order", "pedidos", 55, 30, 440, 160, 300, 2000, 3, 0.6, false, 0},
+			{"fitting-view", "probador", 160, 70, 640, 233, 400, 3000, 1, 0.2, true, 0, 0},
+			{"frame-hold", "probador", 70, 70, 840, 306, 600, 4000, 2, 0.4, false, 0, 0},
+			{"lens-order", "pedidos", 55, 30, 440, 160, 300, 2000, 3, 0.6, false, 0, 0},
 		},
 		CallerDelay: 3, IntraRegionDelay: 1, InterRegionDelay: 20,
 		Duration: 32 * clock.Second, Load: 1, LoadAmplitude: 0.3, LoadPeriod: 36 * clock.Second, Seed: 1,
--- a/emulator/layout.go
+++ b/emulator/layout.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 
 	"github.com/bulrushferry/bulrushferry/clock"
@@ -65,6 +66,24 @@
 	return int(u * u * float64(w.Count))
 }
 
+// part returns the part of all requests that belong to a workspace.
+func (w Workspaces) part(number int) float64 {
+	if w.Count <= 1 {
+		return 1
+	}
+	return math.Sqrt(float64(number+1)/float64(w.Count)) - math.Sqrt(float64(number)/float64(w.Count))
+}
+
+// isSurging reports whether a workspace sends more requests of a kind than usual.
+func (c Config) isSurging(kind *RequestKind, workspace int, now clock.Millis) bool {
+	for _, s := range c.Surges {
+		if s.Kind == kind.Name && now >= s.From && now < s.To && s.OneWorkspace && s.Workspace == workspace {
+			return true
+		}
+	}
+	return false
+}
+
 // home returns the home region of a workspace, or an empty string if it has none.
 func (c Config) home(workspace int) string {
 	every := c.Workspaces.HomedEvery
--- a/emulator/policy.go
+++ b/emulator/policy.go
@@ -27,6 +27,8 @@
 		balancer *placement.Balancer
 		// pending holds the choices that are not released yet, oldest first.
 		pending map[choiceKey][]*placement.Choice
+		// admits is set where the instance decides on admission too.
+		admits bool
 	}
 
 	// choiceKey identifies a choice by the arguments of Done.
@@ -47,7 +49,19 @@
 	"object hash":         newBaseline(pickByObjectHash),
 }
 
+// PlacementOnly is the product's policy without the decisions on admission: each request is
+// sent or refused at once. It shows what these decisions change.
+var PlacementOnly Policy = newPlacementBalancer
+
+// newProductBalancer returns a balancer of an instance that decides on admission too.
 func newProductBalancer(c Config, in Instance, servers []placement.Server, random *rand.Rand) Balancer {
+	p := newPlacementBalancer(c, in, servers, random).(*productBalancer)
+	p.admits = true
+	return p
+}
+
+// newPlacementBalancer returns the product's balancer alone.
+func newPlacementBalancer(c Config, in Instance, servers []placement.Server, random *rand.Rand) Balancer {
 	d := in.Domain
 	regions := values.NewSet[string]()
 	var members []string
--- a/emulator/result.go
+++ b/emulator/result.go
@@ -34,6 +34,9 @@
 
 		creditByDomain map[string]*creditTotals
 		creditByKind   map[string]*creditTotals
+		// creditOfOthers is the credit of all requests but those of workspaces that send
+		// more than usual.
+		creditOfOthers creditTotals
 		latencies      metrics.Histogram
 	}
 
@@ -60,6 +63,9 @@
 	r.Requests++
 	r.creditByDomain[q.domain.Name].possible += q.kind.Credit
 	r.creditByKind[q.kind.Name].possible += q.kind.Credit
+	if !q.surging {
+		r.creditOfOthers.possible += q.kind.Credit
+	}
 }
 
 // recordResponse records a response when it reaches the caller.
@@ -79,6 +85,9 @@
 	}
 	r.creditByDomain[q.domain.Name].earned += credit
 	r.creditByKind[q.kind.Name].earned += credit
+	if !q.surging {
+		r.creditOfOthers.earned += credit
+	}
 }
 
 // recordFailure records a request that was not served.
--- a/emulator/simulation.go
+++ b/emulator/simulation.go
@@ -18,6 +18,9 @@
 		random    *rand.Rand
 		servers   map[string]*server
 		balancers map[string]Balancer
+		// admissions holds what decides on waiting and yielding at the instances whose
+		// policy includes it.
+		admissions map[string]*instanceAdmission
 		// instances holds the entry instances of each failure domain.
 		instances map[string][]Instance
 		// linkFreeAt is when each link between regions has sent what it was given.
@@ -35,8 +38,15 @@
 		home     string
 		object   uint64
 		sentAt   clock.Millis
-		// retry is set for the second attempt.
-		retry bool
+		// workspace is the number of the request's workspace, and surging is set where
+		// that sends more than usual at this time.
+		workspace int
+		surging   bool
+		// arrivedAt is when the present attempt arrived at the entry instance.
+		arrivedAt clock.Millis
+		// retry is set from the second attempt on, and retries counts them.
+		retry   bool
+		retries int
 		// excluded holds the servers that the present attempt was sent to, and
 		// serversTried their number.
 		excluded     values.Set[string]
@@ -60,18 +70,27 @@
 	sim := &simulation{
 		config: c, random: rand.New(rand.NewPCG(c.Seed, 0)),
 		servers: make(map[string]*server), balancers: make(map[string]Balancer), result: newResult(c),
-		instances: make(map[string][]Instance), linkFreeAt: make(map[regionPair]float64),
+		admissions: make(map[string]*instanceAdmission),
+		instances:  make(map[string][]Instance), linkFreeAt: make(map[regionPair]float64),
 	}
 	listed := sim.addServers()
 	for _, d := range c.FailureDomains {
 		sim.instances[d.Name] = d.instances()
 		for _, in := range sim.instances[d.Name] {
 			sim.balancers[in.Name] = policy(c, in, listed, sim.random)
+			if product, ok := sim.balancers[in.Name].(*productBalancer); ok && product.admits {
+				sim.addAdmission(in.Name, product)
+			}
 		}
 	}
 	for i := range c.RequestKinds {
 		for _, d := range c.FailureDomains {
-			sim.scheduleArrival(&c.RequestKinds[i], d)
+			sim.scheduleArrival(&c.RequestKinds[i], d, nil)
+			for j := range c.Surges {
+				if surge := &c.Surges[j]; surge.Kind == c.RequestKinds[i].Name {
+					sim.events.schedule(surge.From, func() { sim.scheduleArrival(&c.RequestKinds[i], d, surge) })
+				}
+			}
 		}
 	}
 	sim.events.run()
@@ -106,16 +125,24 @@
 }
 
 // scheduleArrival schedules the next request of a kind from a failure domain.
-// Arrivals are a Poisson process whose rate varies with the region's load.
-func (sim *simulation) scheduleArrival(kind *RequestKind, d FailureDomain) {
-	rate := kind.RatePerS * sim.config.Load / float64(len(sim.config.FailureDomains)) * sim.loadFactor(d)
+// Arrivals are a Poisson process whose rate varies with the region's load. With a surge, it is
+// the next request that comes on top of the usual ones.
+func (sim *simulation) scheduleArrival(kind *RequestKind, d FailureDomain, surge *Surge) {
+	end, factor := sim.config.Duration, 1.0
+	if surge != nil {
+		end, factor = min(end, surge.To), surge.Factor-1
+		if surge.OneWorkspace {
+			factor *= sim.config.Workspaces.part(surge.Workspace)
+		}
+	}
+	rate := factor * kind.RatePerS * sim.config.Load / float64(len(sim.config.FailureDomains)) * sim.loadFactor(d)
 	interval := clock.Millis(sim.random.ExpFloat64() / rate * float64(clock.Second))
-	if sim.events.now+interval >= sim.config.Duration {
+	if sim.events.now+interval >= end {
 		return
 	}
 	sim.events.schedule(interval, func() {
-		sim.handleArrival(kind, d)
-		sim.scheduleArrival(kind, d)
+		sim.handleArrival(kind, d, surge)
+		sim.scheduleArrival(kind, d, surge)
 	})
 }
 
@@ -129,17 +156,28 @@
 	return 1 + sim.config.LoadAmplitude*math.Sin(2*math.Pi*float64(sim.events.now)/float64(sim.config.LoadPeriod)+phase)
 }
 
-func (sim *simulation) handleArrival(kind *RequestKind, d FailureDomain) {
+func (sim *simulation) handleArrival(kind *RequestKind, d FailureDomain, surge *Surge) {
 	// Objects belong to the region of their callers; kinds of requests to the
 	// same service share them.
 	object := uint64(d.Region[0])<<32 | uint64(len(kind.Service))<<16 | uint64(sim.random.IntN(kind.ObjectsPerRegion)+1)
 	instances := sim.instances[d.Name]
+	workspace := sim.config.Workspaces.draw(sim.random)
+	if surge != nil && surge.OneWorkspace {
+		workspace = surge.Workspace
+	}
 	r := &request{
+		workspace: workspace, surging: sim.config.isSurging(kind, workspace, sim.events.now),
 		kind: kind, domain: d, instance: instances[sim.random.IntN(len(instances))].Name, object: object,
-		home: sim.config.home(sim.config.Workspaces.draw(sim.random)), sentAt: sim.events.now, excluded: values.NewSet[string](),
+		home: sim.config.home(workspace), sentAt: sim.events.now, excluded: values.NewSet[string](),
 	}
 	sim.result.recordRequest(r)
-	sim.events.schedule(sim.config.CallerDelay, func() { sim.dispatch(r) })
+	sim.events.schedule(sim.config.CallerDelay, func() { sim.arrive(r) })
+}
+
+// arrive handles an attempt that arrives at its entry instance.
+func (sim *simulation) arrive(r *request) {
+	r.arrivedAt = sim.events.now
+	sim.dispatch(r)
 }
 
 // dispatch sends a request to the server that the balancer chooses.
@@ -150,12 +188,22 @@
 		sim.result.recordFailure()
 		return
 	}
+	if a := sim.admissions[r.instance]; a != nil {
+		a.dispatch(r)
+		return
+	}
 	q := sim.newQuery(r, timeLeft)
 	id, refusal := sim.balancers[r.instance].Choose(now, q)
 	if refusal != nil {
 		sim.handleRefusal(r, refusal.RetryAfter)
 		return
 	}
+	sim.send(r, q, id)
+}
+
+// send sends a request to a server.
+func (sim *simulation) send(r *request, q placement.Query, id string) {
+	now, timeLeft := sim.events.now, q.TimeLeft
 	r.serversTried++
 	r.excluded = r.excluded.With(id)
 	s := sim.servers[id]
@@ -174,7 +222,7 @@
 		TimeLeft: timeLeft, Objective: r.kind.Objective,
 		RegionAllowed: func(region string) bool { return r.home == "" || region == r.home },
 	}
-	q.LatencyLimit = placement.LatencyBudget{Objective: r.kind.Objective, Timeout: r.kind.Deadline, Retry: r.retry}.Limit()
+	q.LatencyLimit = placement.LatencyBudget{Objective: r.kind.Objective, Timeout: r.kind.Deadline, Priority: r.kind.Priority, Retry: r.retry}.Limit()
 	return q
 }
 
@@ -186,6 +234,9 @@
 		outcome = placement.Declined
 	}
 	sim.balancers[r.instance].Done(sim.events.now, id, q, placement.Result{Outcome: outcome, Load: load, HasLoad: true})
+	if a := sim.admissions[r.instance]; a != nil {
+		a.release(r, ran)
+	}
 	switch {
 	case ran:
 		sim.events.schedule(sim.config.CallerDelay, func() { sim.result.recordResponse(r, sim.events.now) })
@@ -196,14 +247,14 @@
 	}
 }
 
-// handleRefusal lets the caller retry a refused request, once.
+// handleRefusal lets the caller retry a refused request, as often as the configuration says.
 func (sim *simulation) handleRefusal(r *request, retryAfter clock.Millis) {
 	sim.result.Refusals++
-	if r.retry {
+	timeLeft := r.sentAt + r.kind.Deadline - sim.events.now
+	if r.retries >= max(sim.config.Retries, 1) || timeLeft <= 0 {
 		sim.result.recordFailure()
 		return
 	}
-	r.retry, r.serversTried, r.excluded = true, 0, values.NewSet[string]()
-	timeLeft := r.sentAt + r.kind.Deadline - sim.events.now
-	sim.events.schedule(min(retryAfter, timeLeft/retryDelayDivisor)+2*sim.config.CallerDelay, func() { sim.dispatch(r) })
+	r.retry, r.retries, r.serversTried, r.excluded = true, r.retries+1, 0, values.NewSet[string]()
+	sim.events.schedule(min(retryAfter, timeLeft/retryDelayDivisor)+2*sim.config.CallerDelay, func() { sim.arrive(r) })
 }
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -36,6 +36,10 @@
 		// Yields is set where the request leaves room for others: it does not queue, and
 		// leaves a part of each server's slots free.
 		Yields bool
+		// WarmOnly is set where the request takes a server beside those of its object only
+		// if that is expected to keep the object warm. Where capacity is short, requests
+		// that run elsewhere take several times as much of it.
+		WarmOnly bool
 		// MayWait is set where the request waits for room if there is none, so that having
 		// none is not a refusal yet.
 		MayWait bool
--- a/placement/idle.go
+++ b/placement/idle.go
@@ -72,6 +72,9 @@
 		return false
 	}
 	c.warm = q.Object == 0 || s.isWarmFor(q.Object, now)
+	if q.WarmOnly && !c.warm {
+		return false
+	}
 	b.estimate(now, q, &c)
 	if best.state == nil || b.isBetter(&c, best) {
 		*best = c
--- a/placement/refusal.go
+++ b/placement/refusal.go
@@ -165,6 +165,7 @@
 	if q.Yields {
 		return
 	}
+	q.WarmOnly = false
 	b.recordRefusal(now, q, region)
 	if !q.MayWait {
 		b.recordOverload(now, q.Service)
--- a/steering/answer.go
+++ b/steering/answer.go
@@ -1,7 +1,6 @@
 package steering
 
 import (
-	"math"
 	"strconv"
 
 	"github.com/bulrushferry/bulrushferry/clock"
@@ -89,7 +88,7 @@
 }
 
 // refusalFields returns the log fields that say what a refusal was based on.
-func refusalFields(refusal *placement.Refusal) []any {
+func (req *callerRequest) refusalFields(refusal *placement.Refusal) []any {
 	if excluded := refusal.Exclusions; excluded != nil {
 		return []any{
 			"servers", excluded.Counted, "not_accepting", excluded.NotAccepting, "leaving", excluded.Leaving, "paused", excluded.Paused,
@@ -100,12 +99,12 @@
 	if best == nil {
 		return nil
 	}
-	return []any{
+	return append(req.standingFields(),
 		"server", best.Server, "candidates", best.Candidates, "fanout", best.Fanout, "expected_ms", int64(best.Latency),
 		"limit_ms", int64(best.Limit), "base_ms", int64(best.BaseLatency), "queue_ms", int64(best.QueueTime),
-		"factor", math.Round(best.LatencyFactor*100) / 100, "in_flight", best.InFlight, "load", best.Load, "slots", best.Slots,
+		"factor", round(best.LatencyFactor), "in_flight", best.InFlight, "load", best.Load, "slots", best.Slots,
 		"report_age_ms", int64(best.ReportAge), "warm", best.Warm, "cold", best.Cold,
-	}
+	)
 }
 
 // refuse sets an error response and logs it. A 503 or 429 carries a Retry-After that is
--- a/steering/attempt.go
+++ b/steering/attempt.go
@@ -48,7 +48,7 @@
 	if response != nil {
 		h.peaks.observe(now, req.service, now-sentAt)
 	}
-	h.config.Balancer.Done(now, choice, placement.Result{Outcome: outcome, Load: info.Load, HasLoad: info.HasLoad})
+	h.release(choice, placement.Result{Outcome: outcome, Load: info.Load, HasLoad: info.HasLoad})
 	h.recordNotice(req, choice.Server, info, now)
 	h.trackCrash(req, choice.Server.ID, outcome, now)
 	h.recordOutcome(req, choice, outcome, info.Status, err)
--- a/steering/control_state.go
+++ b/steering/control_state.go
@@ -67,6 +67,8 @@
 		authorityLost atomic.Bool
 		joined        atomic.Bool
 		onRulesChange func()
+		// onServersChange is called after each change of the servers in use.
+		onServersChange atomic.Pointer[func()]
 
 		// mu guards the fields below and serializes updates.
 		mu sync.Mutex
@@ -199,6 +201,7 @@
 	rules, err := s.config.Decoder.Config(s.Rules.Rows())
 	s.invalidRules = s.replaceInvalid(s.invalidRules, rules.Invalid)
 	s.config.Balancer.SetEvacuated(s.config.Clock.Now(), rules.Evacuated)
+	defer s.notifyServersChange()
 	if err != nil {
 		s.config.Log.Error("decoding the configuration failed, keeping the active one", "error", err.Error())
 		return
@@ -239,6 +242,11 @@
 	s.outage.lastConfirmed = asOf
 }
 
+// OnServersChange sets the function that is called when servers in use have changed.
+func (s *ControlState) OnServersChange(call func()) {
+	s.onServersChange.Store(&call)
+}
+
 // OnRulesChange sets the function that is called after each change of the rules replica.
 // It must be called before the replica receives changes.
 func (s *ControlState) OnRulesChange(call func()) {
--- a/steering/forward.go
+++ b/steering/forward.go
@@ -38,18 +38,19 @@
 			h.giveUp(req, maybeRan, reason, startupRetryAfter)
 			return
 		}
-		choice, refusal := h.config.Balancer.Choose(h.config.Clock.Now(), h.placementQuery(req, tried, left))
+		choice, refusal := h.choose(req, tried)
 		if refusal != nil {
-			h.giveUp(req, maybeRan, refusal.Reason, refusal.RetryAfter, refusalFields(refusal)...)
+			h.giveUp(req, maybeRan, refusal.Reason, refusal.RetryAfter, req.refusalFields(refusal)...)
 			return
 		}
+		left = req.deadline - h.config.Clock.Now()
 		if !h.endsInTime(req, left, choice.ExpectedLatency) {
-			h.config.Balancer.Done(h.config.Clock.Now(), choice, placement.Result{Outcome: placement.Canceled})
+			h.release(choice, placement.Result{Outcome: placement.Withheld})
 			h.giveUp(req, maybeRan, "this instance stops before the request would end", 0, "expected_ms", int64(choice.ExpectedLatency), "left_ms", int64(left))
 			return
 		}
 		if sent > 0 && !h.config.RetryBudget.TryWithdraw(req.service) {
-			h.config.Balancer.Done(h.config.Clock.Now(), choice, placement.Result{Outcome: placement.Canceled})
+			h.release(choice, placement.Result{Outcome: placement.Withheld})
 			h.giveUp(req, maybeRan, "the retry budget is spent", choice.ExpectedLatency)
 			return
 		}
--- a/steering/handler.go
+++ b/steering/handler.go
@@ -6,6 +6,7 @@
 	"strings"
 	"sync/atomic"
 
+	"github.com/bulrushferry/bulrushferry/admission"
 	"github.com/bulrushferry/bulrushferry/clock"
 	"github.com/bulrushferry/bulrushferry/gateway"
 	"github.com/bulrushferry/bulrushferry/origin"
@@ -41,6 +42,7 @@
 		RetryBudget  *RetryBudget
 		RateLimiter  Admitter
 		Crashes      *placement.CrashTracker
+		Admission    *admission.Controller
 	}
 
 	// Handler authenticates and admits callers' requests and forwards them to
@@ -53,6 +55,8 @@
 		// zero while the instance is not stopping.
 		stopsAt atomic.Int64
 		peaks   *latencyPeaks
+		// room holds the requests that wait for a server.
+		room *admission.Room[*waiter]
 	}
 
 	// callerRequest is a caller's request with the state of its handling.
@@ -76,6 +80,13 @@
 		// latencyLimit is the longest expected latency with which the request may
 		// wait for a free slot.
 		latencyLimit clock.Millis
+		// waitsSince is when the request began to wait for room; zero if it has not.
+		waitsSince clock.Millis
+		// standing is how the request stood among the others of its service when a server
+		// was last looked for, and returns when the caller is to come back if none was
+		// found.
+		standing admission.Standing
+		returns  admission.Return
 	}
 )
 
@@ -91,7 +102,7 @@
 
 // NewHandler returns a handler that accepts requests.
 func NewHandler(config HandlerConfig) *Handler {
-	return &Handler{config: config, peaks: newLatencyPeaks()}
+	return &Handler{config: config, peaks: newLatencyPeaks(), room: admission.NewRoom[*waiter](maxWaiting)}
 }
 
 // StopIn announces that requests that still run after a time will be cut off. Requests that
--- a/steering/instance_test.go
+++ b/steering/instance_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/bulrushferry/bulrushferry/admission"
 	"github.com/bulrushferry/bulrushferry/clock"
 	"github.com/bulrushferry/bulrushferry/fleet"
 	"github.com/bulrushferry/bulrushferry/gateway"
@@ -193,7 +194,9 @@
 		}),
 		RetryBudget: NewRetryBudget(RetryBudgetConfig{Bounds: func() Bounds { return Bounds{RetryRatio: 1, RetrySlack: 1000} }, InstanceCount: func() int { return 1 }}),
 		Crashes:     placement.NewCrashTracker(),
+		Admission:   admission.NewController(nil),
 	})
+	state.OnServersChange(in.handler.offerNewRoom)
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/steering/server_list.go
+++ b/steering/server_list.go
@@ -103,6 +103,14 @@
 		}
 	}
 	s.config.Balancer.UpdateServers(s.config.Clock.Now(), update.changed, update.removed)
+	s.notifyServersChange()
+}
+
+// notifyServersChange calls the function set with OnServersChange, if any.
+func (s *ControlState) notifyServersChange() {
+	if call := s.onServersChange.Load(); call != nil {
+		(*call)()
+	}
 }
 
 // logServer logs a server that is new or has changed, unless it is beyond the first
--- a/steering/wiring.go
+++ b/steering/wiring.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"io"
 
+	"github.com/bulrushferry/bulrushferry/admission"
 	"github.com/bulrushferry/bulrushferry/clock"
 	"github.com/bulrushferry/bulrushferry/fleet"
 	"github.com/bulrushferry/bulrushferry/gateway"
@@ -47,6 +48,7 @@
 		newMemory,
 		newPool,
 		newRetryBudget,
+		func() *admission.Controller { return admission.NewController(nil) },
 		newRequestHandler,
 		newGateway,
 	}
@@ -175,8 +177,8 @@
 	return NewRetryBudget(RetryBudgetConfig{Bounds: func() Bounds { return l.get().Bounds }, InstanceCount: m.shareHolderCount})
 }
 
-func newRequestHandler(adapter Adapter, c clock.Clock, log hclog.Logger, registry metrics.Registry, state *ControlState, balancer *placement.Balancer, pool *origin.Pool, budget *RetryBudget, limiter *RateLimiter, crashes *placement.CrashTracker) *Handler {
-	return NewHandler(HandlerConfig{
+func newRequestHandler(adapter Adapter, c clock.Clock, log hclog.Logger, registry metrics.Registry, state *ControlState, balancer *placement.Balancer, pool *origin.Pool, budget *RetryBudget, limiter *RateLimiter, crashes *placement.CrashTracker, admissions *admission.Controller) *Handler {
+	h := NewHandler(HandlerConfig{
 		Clock:        c,
 		Log:          log.Named("request"),
 		Metrics:      registry,
@@ -187,7 +189,10 @@
 		RetryBudget:  budget,
 		RateLimiter:  limiter,
 		Crashes:      crashes,
+		Admission:    admissions,
 	})
+	state.OnServersChange(h.offerNewRoom)
+	return h
 }
 
 func newGateway(h *Handler, state *ControlState, log hclog.Logger) *gateway.Server {
