steering: instances tell each other how short of capacity services are

Cause: one instance of 33 or 105 sees few requests of a service, so it learns late that urgent requests find no room, and decides unlike the others.

Observations, which gossip carries already, now hold the admission level of each service that is short of capacity, with the age of the last request that found no room. An instance uses the strictest of its own and the others' levels and passes it on. A level expires three seconds after that request, counted from its age plus the transit time plus 50 ms each time it is received. Nothing is sent for services with room. A level of an unknown service, or with an implausible priority, share or age, is dropped, counted and logged once a second at most.

Weighed: a level for each instance, averaged: 105 entries for each service in every message. The strictest needs no instance in the entry; one instance with a wrong level makes less urgent requests yield for three seconds, which takes no capacity from the service as a whole.

Tests: plausible, old, foreign and absurd levels; two instances that pass on the level of a third that has ended; halves with different levels.

--- a/steering/choose.go
+++ b/steering/choose.go
@@ -53,7 +53,8 @@
 
 // admissionRequest describes the request to the decisions on admission.
 func (req *callerRequest) admissionRequest() admission.Request {
-	out := admission.Request{Service: req.service, Route: req.route.Name, Priority: req.route.PriorityFor(req.workspace), Objective: req.route.Objective}
+	out := admission.Request{Service: req.service, Route: req.route.Name, Objective: req.route.Objective}
+	out.Priority = min(max(req.route.PriorityFor(req.workspace), 0), admission.MaxPriority)
 	if req.workspace != nil {
 		out.Workspace = req.workspace.Name
 	}
--- a/steering/wiring.go
+++ b/steering/wiring.go
@@ -129,7 +129,7 @@
 	return peer.NewTransport(peer.TransportConfig{Address: s.PeerAddress, TLS: tls, Log: log.Named("peer"), CloseIdle: true})
 }
 
-func newGossip(state *ControlState, members *fleet.Members, network *peer.Transport, c clock.Clock, crashes *placement.CrashTracker, balancer *placement.Balancer, log hclog.Logger, registry metrics.Registry) *fleet.Gossip {
+func newGossip(state *ControlState, members *fleet.Members, network *peer.Transport, c clock.Clock, crashes *placement.CrashTracker, balancer *placement.Balancer, levels *admission.Controller, log hclog.Logger, registry metrics.Registry) *fleet.Gossip {
 	g := fleet.NewGossip(fleet.GossipConfig{
 		Clock:         clock.BootTime{},
 		Log:           log.Named("gossip"),
@@ -137,7 +137,7 @@
 		Members:       members,
 		Tables:        []*fleet.Replica{state.Rules, state.Servers},
 		OnPeerRestart: network.Disconnect,
-		Observations:  &observations{clock: c, crashes: crashes, balancer: balancer, log: log, registry: registry},
+		Observations:  &observations{clock: c, crashes: crashes, balancer: balancer, levels: levels, config: state.Config, log: log, registry: registry},
 	})
 	state.OnRulesChange(g.NotifyNeighbors)
 	return g
