--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -182,3 +182,23 @@
 		})
 	}
 }
+
+// BenchmarkRequestWithRoom measures what the decisions cost a request that finds room at once.
+func BenchmarkRequestWithRoom(b *testing.B) {
+	c, room := NewController(nil), NewRoom[int](512)
+	names := make([]string, 75)
+	for i := range names {
+		names[i] = fmt.Sprint("w", i)
+	}
+	b.ReportAllocs()
+	for i := range b.N {
+		now := clock.Millis(100_000 + i)
+		r := Request{Service: "s", Route: "r", Workspace: names[i%75], Priority: i % 4, Objective: 500}
+		room.OfferAhead("s", r.Priority, func(int) bool { return false })
+		standing := c.Standing(now, r)
+		c.RecordArrival(now, r, standing, false)
+		c.RecordSent(now, r, standing)
+		c.RecordEnd(now, "s")
+		room.Offer("s", 3, func(int) bool { return false })
+	}
+}
--- a/admission/room.go
+++ b/admission/room.go
@@ -20,6 +20,11 @@
 	return &Room[T]{capacity: capacity, queues: make(map[string]*Queue[T])}
 }
 
+// Len returns the number of waiting requests.
+func (r *Room[T]) Len() int {
+	return int(r.waiting.Load())
+}
+
 // Enter adds a request to its service's queue, as Queue.Push does, and returns the number of
 // requests that wait there.
 func (r *Room[T]) Enter(service string, p Place, value T) (added, displaced *Entry[T], waiting int) {
--- a/emulator/admission.go
+++ b/emulator/admission.go
@@ -77,7 +77,7 @@
 	if refusal == nil {
 		return
 	}
-	short := refusal.Best != nil
+	short := refusal.WantsRoom() || (standing.Yields && refusal.Best != nil)
 	a.controller.RecordArrival(now, r.describe(), standing, short)
 	if !short || !mayWait {
 		a.refuse(r, refusal)
--- a/placement/refusal.go
+++ b/placement/refusal.go
@@ -75,6 +75,12 @@
 	pauseSpreadDivisor = 4
 )
 
+// WantsRoom reports whether the request was refused since it would have had to wait too long
+// for a slot. It may be called on nil.
+func (r *Refusal) WantsRoom() bool {
+	return r != nil && r.Best != nil && r.Best.QueueTime > 0
+}
+
 // refuseWithoutServer returns the refusal of a request that no server may take. If servers
 // that could take it have asked for a pause, the caller is told when the shortest ends.
 func (b *Balancer) refuseWithoutServer(now clock.Millis, q Query) *Refusal {
--- a/steering/choose.go
+++ b/steering/choose.go
@@ -28,7 +28,7 @@
 	query := h.placementQuery(req, tried, now)
 	query.MayWait = now < req.waitsUntil()
 	choice, refusal := h.config.Balancer.Choose(now, query)
-	short := refusal != nil && refusal.Best != nil
+	short := refusal.WantsRoom() || (refusal != nil && req.standing.Yields && refusal.Best != nil)
 	if level, changed := h.config.Admission.RecordArrival(now, who, req.standing, short); changed {
 		h.count("admission.levels")
 		h.config.Log.Info("service is short of capacity", "service", req.service, "priority", level.Priority, "share", round(level.Share), "request", req.id)
@@ -43,7 +43,7 @@
 		h.config.Admission.RecordSent(now, who, req.standing)
 		return choice, nil
 	}
-	if refusal.Best != nil {
+	if short {
 		now = h.config.Clock.Now()
 		req.returns = h.config.Admission.Refuse(now, who, refusal.RetryAfter, (req.deadline-now)/retryAfterDivisor)
 		refusal.RetryAfter = req.returns.After
@@ -93,6 +93,7 @@
 		"priority", req.route.PriorityFor(req.workspace), "yields", s.Yields, "over_share", s.Over, "queue_limit_ms", int64(s.QueueLimit),
 		"level", s.HasLevel, "level_priority", s.Level.Priority, "level_share", round(s.Level.Share), "level_age_ms", int64(s.LevelAge),
 		"level_of_peer", s.Shared, "returns_ahead", req.returns.Ahead, "drain_per_s", round(req.returns.DrainPerS),
+		"wait", req.wait.ended, "waited_ms", int64(req.wait.took), "waiting", req.wait.waiting,
 	}
 }
 
--- a/steering/handler.go
+++ b/steering/handler.go
@@ -80,8 +80,10 @@
 		// latencyLimit is the longest expected latency with which the request may
 		// wait for a free slot.
 		latencyLimit clock.Millis
-		// waitsSince is when the request began to wait for room; zero if it has not.
+		// waitsSince is when the request began to wait for room; zero if it has not. wait is
+		// how that ended.
 		waitsSince clock.Millis
+		wait       waitEnd
 		// standing is how the request stood among the others of its service when a server
 		// was last looked for, and returns when the caller is to come back if none was
 		// found.
--- a/steering/wait.go
+++ b/steering/wait.go
@@ -10,14 +10,24 @@
 	"github.com/rcrowley/go-metrics"
 )
 
-// waiter is a request that waits for room at a server of its service.
-type waiter struct {
-	req   *callerRequest
-	tried values.Set[string]
-	// ended receives the server that the request is assigned to, or nil if a more urgent
-	// request has displaced it.
-	ended chan *placement.Choice
-}
+type (
+	// waiter is a request that waits for room at a server of its service.
+	waiter struct {
+		req   *callerRequest
+		tried values.Set[string]
+		// ended receives the server that the request is assigned to, or nil if a more
+		// urgent request has displaced it.
+		ended chan *placement.Choice
+	}
+
+	// waitEnd says how a request's wait has ended, after which time, and how many requests
+	// waited for the service when it began.
+	waitEnd struct {
+		ended   string
+		took    clock.Millis
+		waiting int
+	}
+)
 
 const (
 	// waitDivisor is the part of a request's objective, as a divisor, after which it is
@@ -57,11 +67,11 @@
 		choice, ended = h.await(w, entry)
 	}
 	now := h.config.Clock.Now()
+	req.wait = waitEnd{ended: ended, took: now - since, waiting: waiting}
 	h.count("admission.waits." + ended)
-	h.config.Log.Info("request waited for room", "request", req.id, "service", req.service, "route", req.route.Name, "priority", place.Priority,
-		"workspace", place.Workspace, "used_share", round(place.Used), "waiting", waiting, "waited_ms", int64(now-since),
-		"left_ms", int64(req.deadline-now), "ended", ended)
 	if choice != nil {
+		h.config.Log.Info("request waited for room", "request", req.id, "service", req.service, "server", choice.Server.ID, "priority", place.Priority,
+			"workspace", place.Workspace, "used_share", round(place.Used), "waiting", waiting, "waited_ms", int64(now-since), "left_ms", int64(req.deadline-now))
 		return choice, nil
 	}
 	return h.config.Balancer.Choose(now, h.placementQuery(req, tried, now))
