steering: check the time after which a wait without room ends

The fastest of up to ten refusals must come after an eighth of the objective and within 60 ms more, so that a busy machine does not fail the test and a wait that is too long does.

--- a/steering/wait_test.go
+++ b/steering/wait_test.go
@@ -23,6 +23,8 @@
 const (
 	fillObjective = 500 * time.Millisecond
 	fillWork      = 300 * time.Millisecond
+	// callerMargin is how much later than the instance's answer a caller may see it.
+	callerMargin = 60 * time.Millisecond
 	// fillLearned is the number of requests from which the instance learns.
 	fillLearned = 8
 )
@@ -89,15 +91,25 @@
 	}
 }
 
-// TestWaitEndsWithoutRoom sends a request to a server that stays full. It must be refused as
-// not run, and not reach the server later.
+// TestWaitEndsWithoutRoom sends requests to a server that stays full. They must be refused as
+// not run, and not reach the server later. A busy machine may delay an answer, but the fastest
+// one must come after the first eighth of the objective, neither before nor much later.
 func TestWaitEndsWithoutRoom(t *testing.T) {
+	const wait = fillObjective / waitDivisor
 	f := startFilling(t, 1)
-	started := time.Now()
-	response := f.call("/b/x", 9, 3000)
-	// The instance refuses after 62 ms; the rest is for a busy machine.
-	if took := time.Since(started); response.StatusCode() != fasthttp.StatusServiceUnavailable || took > fillObjective {
-		t.Errorf("got %d after %s, want 503", response.StatusCode(), took)
+	fastest := time.Hour
+	for range 10 {
+		started := time.Now()
+		response := f.call("/b/x", 9, 3000)
+		if response.StatusCode() != fasthttp.StatusServiceUnavailable {
+			t.Fatalf("got %d, want 503", response.StatusCode())
+		}
+		if fastest = min(fastest, time.Since(started)); fastest < wait+callerMargin {
+			break
+		}
+	}
+	if fastest < wait || fastest > wait+callerMargin {
+		t.Errorf("the fastest refusal came after %s, want %s", fastest, wait)
 	}
 	close(f.release)
 	f.holders.Wait()
