admission: a level only from a larger part of requests without room

Cause: with few requests of a priority for which the servers of their object had no room, a service with capacity left got a level.

A level now takes 15 % of a priority's requests instead of 5 %. Requests beyond their share may fill a quarter of their objective of servers' queues instead of none, and no longer keep the level up themselves.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -28,7 +28,8 @@
 	Standing struct {
 		// Yields is set where the request must leave room for others.
 		Yields bool
-		// Over is set where its workspace has had more than its share lately.
+		// Over is set where the request has the priority of the level in force, and its
+		// workspace has had more than the level's multiple of its share lately.
 		Over bool
 		// QueueLimit is how long it may wait in a server's own queue; zero means that only
 		// its latency limit bounds that.
@@ -75,10 +76,11 @@
 }
 
 // RecordArrival records a request whose standing was asked for, and whether there was no room
-// for it. Requests that yield do not count as short: others take their room by intent.
+// for it. Requests that yield, or are beyond their workspace's share, do not count: others take
+// their room by intent.
 // It returns the own level and whether it has come into force or got another priority.
 func (c *Controller) RecordArrival(now clock.Millis, r Request, standing Standing, short bool) (level Level, changed bool) {
-	if standing.Yields {
+	if standing.Yields || standing.Over {
 		return Level{}, false
 	}
 	c.mu.Lock()
@@ -176,12 +178,13 @@
 	}
 	out.Level, out.LevelAge, out.HasLevel = level.Level, now-level.seenAt, true
 	out.Shared = level == s.shared
-	multiple := initialShare
-	if r.Priority == level.Priority {
-		multiple = level.Share
-	}
-	out.Over = s.shares(now, r.Route).isOver(now, r.Workspace, multiple)
 	out.QueueLimit = s.own.queueLimit(now, r.Priority)
-	out.Yields = r.Priority > level.Priority || (r.Priority == level.Priority && out.Over)
+	out.Yields = r.Priority > level.Priority
+	if r.Priority == level.Priority && s.shares(now, r.Route).isOver(now, r.Workspace, level.Share) {
+		out.Over = true
+		if limit := r.Objective / queueDivisor; out.QueueLimit == 0 || limit < out.QueueLimit {
+			out.QueueLimit = limit
+		}
+	}
 	return out
 }
--- a/admission/controller_test.go
+++ b/admission/controller_test.go
@@ -92,6 +92,35 @@
 	}
 }
 
+// TestOverShareFillsLessOfTheQueues has a workspace send seven times its usual rate while its
+// request type finds no room. Only this workspace's requests may be held out of servers'
+// queues, and they must not keep the level up.
+func TestOverShareFillsLessOfTheQueues(t *testing.T) {
+	c := newTestController()
+	request := func(workspace string) Request {
+		return Request{Service: "s", Route: "r", Workspace: workspace, Objective: 800}
+	}
+	now := clock.Millis(0)
+	for ; now < 60*clock.Second; now += 100 {
+		for _, name := range []string{"a", "b", "c"} {
+			for range 1 + 6*map[bool]int{true: 1}[name == "a" && now >= 57*clock.Second] {
+				c.RecordSent(now, request(name), Standing{})
+			}
+		}
+	}
+	arrive(c, now, request("b"), 2, true)
+	if s := c.Standing(now, request("a")); !s.Over || s.Yields || s.QueueLimit != 800/queueDivisor {
+		t.Errorf("the workspace beyond its share has %+v", s)
+	}
+	if s := c.Standing(now, request("b")); s.Over || s.Yields || s.QueueLimit != 0 {
+		t.Errorf("another workspace has %+v", s)
+	}
+	arrive(c, now+200, request("a"), 50, true)
+	if s := c.Standing(now+LevelTerm, request("b")); s.HasLevel {
+		t.Errorf("the level lasts beyond its term: %+v", s)
+	}
+}
+
 // TestReturnsAreSpread refuses the callers of two priorities at once. They must come back
 // spread over time, no faster than capacity is expected, the urgent ones first, and each
 // within a third of its time. Otherwise all of them are refused again.
--- a/admission/level.go
+++ b/admission/level.go
@@ -7,7 +7,8 @@
 type (
 	// Level says who is admitted in full at a service that is short of capacity: more urgent
 	// requests than its priority, and those of its priority from workspaces that have had less
-	// than a multiple of their share lately. All others yield: they get what capacity nobody
+	// than a multiple of their share lately. Those of its priority beyond the share may fill
+	// only a part of servers' queues. Less urgent ones yield: they get what capacity nobody
 	// above the level needs.
 	Level struct {
 		Priority int
@@ -69,7 +70,7 @@
 	// part of all of the priority, from which the service counts as short of capacity. A
 	// single one may be due to a server that failed, or to its object's few servers.
 	minShort     = 1.5
-	minShortPart = 0.05
+	minShortPart = 0.15
 	// maxServedPart is the part of requests without room below which the share rises.
 	maxServedPart = 0.02
 	// urgentTime is how long after a request more urgent ones than others are expected again.
