steering: offer free room to eight waiting requests instead of three

Cause: a waiting request takes only the servers of its object and those warm for it. The first three are often bound to others than the one with room, which then stays idle until a request for it arrives.

--- a/emulator/admission.go
+++ b/emulator/admission.go
@@ -28,7 +28,7 @@
 	// waitDivisor, maxWaiting and offersPerEnd are those of the product.
 	waitDivisor  = 8
 	maxWaiting   = 512
-	offersPerEnd = 3
+	offersPerEnd = 8
 	// exchangeInterval is how often an instance exchanges levels with another one.
 	exchangeInterval = 500 * clock.Millis(1)
 )
--- a/steering/wait.go
+++ b/steering/wait.go
@@ -37,8 +37,9 @@
 	// they are more than can end in their waiting time.
 	maxWaiting = 512
 	// offersPerEnd is how many waiting requests are offered the room that the end of a
-	// request at a server leaves. The first may be bound to other servers.
-	offersPerEnd = 3
+	// request at a server leaves. Most are bound to the servers of their objects. With few
+	// instances, of which each sees many requests, three took 17 % more refusals than eight.
+	offersPerEnd = 8
 	// offersPerList is the same for each service when the list of servers changes.
 	offersPerList = 32
 )
