steering: refuse after a tenth of the objective, so that callers hear in an eighth

Cause: the wait ended after an eighth of the objective at the instance. The way to the caller, the last search for a server and a busy processor came on top, so callers heard of the refusal after the first eighth.

--- a/emulator/admission.go
+++ b/emulator/admission.go
@@ -26,7 +26,7 @@
 
 const (
 	// waitDivisor, maxWaiting and offersPerEnd are those of the product.
-	waitDivisor  = 8
+	waitDivisor  = 10
 	maxWaiting   = 512
 	offersPerEnd = 8
 	// exchangeInterval is how often an instance exchanges levels with another one.
--- a/steering/wait.go
+++ b/steering/wait.go
@@ -31,8 +31,9 @@
 
 const (
 	// waitDivisor is the part of a request's objective, as a divisor, after which it is
-	// refused if it has not been assigned to a server by then.
-	waitDivisor = 8
+	// refused if it has not been assigned to a server by then. Callers are to hear of it in
+	// the first eighth; the rest is for the ways to and from them and for a busy processor.
+	waitDivisor = 10
 	// maxWaiting is how many requests to one service may wait. At the rates of one instance
 	// they are more than can end in their waiting time.
 	maxWaiting = 512
