--- a/emulator/config.go
+++ b/emulator/config.go
@@ -34,6 +34,8 @@
 		LoadAmplitude float64      `json:"swing"`
 		LoadPeriod    clock.Millis `json:"wave_period_ms"`
 		Seed          uint64       `json:"seed"`
+		Tail          Tail         `json:"tail"`
+		Spells        Spells       `json:"spells"`
 		// Retries is how often a caller sends a refused request again; zero means once.
 		Retries int     `json:"retries"`
 		Surges  []Surge `json:"surges"`
@@ -41,6 +43,24 @@
 		NoExchange bool `json:"no_exchange"`
 	}
 
+	// Tail makes some requests take longer by nature, on any server.
+	Tail struct {
+		// Share is the share of these requests and Factor how much longer they take.
+		Share  float64 `json:"share"`
+		Factor float64 `json:"factor"`
+	}
+
+	// Spells makes each server slow from time to time, as a shared machine is.
+	Spells struct {
+		// Share is the share of the time in which a server is slow, by Factor, and
+		// Length the mean length of a spell.
+		Share  float64      `json:"share"`
+		Factor float64      `json:"factor"`
+		Length clock.Millis `json:"length_ms"`
+		// Reported is set where the servers report their pace.
+		Reported bool `json:"reported"`
+	}
+
 	// Surge is a time during which more requests of a kind arrive.
 	Surge struct {
 		Kind string `json:"kind"`
--- a/steering/adapter.go
+++ b/steering/adapter.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/bulrushferry/bulrushferry/clock"
+	"github.com/bulrushferry/bulrushferry/directory"
 	"github.com/bulrushferry/bulrushferry/fleet"
 	"github.com/bulrushferry/bulrushferry/origin"
 	"github.com/bulrushferry/bulrushferry/values"
@@ -37,7 +39,12 @@
 		MemoryMB int
 		// LinkMbitPerS is the speed of the instance's network link.
 		LinkMbitPerS int
-		Bounds       Bounds
+		// CPUShare is the share of each of Cores processor cores that the instance may
+		// use, and MaxFDs its limit on open descriptors; zero means unknown.
+		CPUShare float64
+		Cores    float64
+		MaxFDs   int
+		Bounds   Bounds
 	}
 
 	// Bounds are the time limits and rates that the deployment has to stay within.
@@ -70,15 +77,24 @@
 	Store interface {
 		// Follow keeps a replica up to date until the context ends.
 		Follow(ctx context.Context, f Following)
-		// Register stores this instance's entry. It reports whether the entry of an
-		// earlier process was replaced, which all instances that have read the list
-		// know of.
-		Register(ctx context.Context, info *wire.FleetInstance) (replaced bool, err error)
+		// Entry returns the entry of an instance, or nil if there is none, and the time by
+		// the store's clock, or zero if that is not known.
+		Entry(ctx context.Context, instance string) (*wire.FleetInstance, clock.Millis, error)
+		// Register stores this instance's entry.
+		Register(ctx context.Context, info *wire.FleetInstance) error
 		// Deregister removes this instance's entry.
 		Deregister(ctx context.Context, info *wire.FleetInstance) error
-		// Instances returns the entries of all registered instances, and the rows
-		// that hold none.
-		Instances(ctx context.Context) ([]*wire.FleetInstance, []InvalidRow, error)
+		// Instances returns the list of all registered instances.
+		Instances(ctx context.Context) (Listing, error)
+	}
+
+	// Listing is the platform's list of instances.
+	Listing struct {
+		Instances []*wire.FleetInstance
+		// Invalid are the rows that hold no entry.
+		Invalid []InvalidRow
+		// Now is the time by the store's clock, or zero if that is not known.
+		Now clock.Millis
 	}
 
 	// Following tells how a Store keeps a replica up to date.
@@ -102,9 +118,9 @@
 	// readiness checks.
 	Endpoints interface {
 		// Lookup returns a handler that responds with the addresses that choose
-		// returns for the caller's region and failure domain. Callers may cache
-		// them for maxAge.
-		Lookup(choose func(region, domain string) []string, maxAge func() clock.Millis) fasthttp.RequestHandler
+		// returns for a caller whose look-up was received at a time. Callers may cache
+		// a full answer for maxAge.
+		Lookup(choose func(caller directory.Caller, received time.Time) directory.Answer, maxAge func() clock.Millis) fasthttp.RequestHandler
 		// Ready returns a handler that reports whether this instance accepts
 		// requests.
 		Ready(ready func() bool) fasthttp.RequestHandler
--- a/steering/answer.go
+++ b/steering/answer.go
@@ -102,7 +102,8 @@
 	return append(req.standingFields(),
 		"server", best.Server, "candidates", best.Candidates, "fanout", best.Fanout, "expected_ms", int64(best.Latency),
 		"limit_ms", int64(best.Limit), "base_ms", int64(best.BaseLatency), "queue_ms", int64(best.QueueTime),
-		"factor", round(best.LatencyFactor), "in_flight", best.InFlight, "load", best.Load, "slots", best.Slots,
+		"factor", round(best.LatencyFactor), "pace", round(best.Pace),
+		"pace_age_ms", int64(best.PaceAge), "in_flight", best.InFlight, "load", best.Load, "slots", best.Slots,
 		"report_age_ms", int64(best.ReportAge), "warm", best.Warm, "cold", best.Cold,
 	)
 }
--- a/steering/attempt.go
+++ b/steering/attempt.go
@@ -48,7 +48,9 @@
 	if response != nil {
 		h.peaks.Observe(now, req.service, now-sentAt)
 	}
-	h.release(choice, placement.Result{Outcome: outcome, Load: info.Load, HasLoad: info.HasLoad})
+	h.release(choice, placement.Result{
+		Outcome: outcome, Load: info.Load.Requests, HasLoad: info.Load.HasRequests, Pace: info.Load.Pace, HasPace: info.Load.HasPace,
+	})
 	h.recordNotice(req, choice.Server, info, now)
 	h.trackCrash(req, choice.Server.ID, outcome, now)
 	h.recordOutcome(req, choice, outcome, info.Status, err)
@@ -79,6 +81,10 @@
 		h.config.Log.Warn("backend server asks for a pause of an invalid length", "server", server.ID, "request", req.id,
 			"given", info.Pause.Given, "pause_ms", int64(info.Pause.For))
 	}
+	if info.Load.Invalid != "" {
+		h.config.Log.Warn("backend server reports an invalid load", "server", server.ID, "request", req.id, "given", info.Load.Invalid,
+			"load", info.Load.Requests, "load_read", info.Load.HasRequests, "pace", info.Load.Pace, "pace_read", info.Load.HasPace)
+	}
 }
 
 // trackCrash tells the crash tracker whether a backend server responded, gave no response
--- a/steering/run.go
+++ b/steering/run.go
@@ -18,6 +18,8 @@
 	"github.com/bulrushferry/bulrushferry/origin"
 	"github.com/bulrushferry/bulrushferry/peer"
 	"github.com/bulrushferry/bulrushferry/placement"
+	"github.com/bulrushferry/bulrushferry/socket"
+	"github.com/bulrushferry/bulrushferry/tokens"
 	"github.com/bulrushferry/bulrushferry/wire"
 	"github.com/hashicorp/go-hclog"
 	"github.com/joomcode/errorx"
@@ -39,11 +41,14 @@
 	Balancer     *placement.Balancer
 	Gossip       *fleet.Gossip
 	Transport    *peer.Transport
-	RateLimiter  *RateLimiter
+	RateLimiter  *tokens.Limiter
 	Pool         *origin.Pool
 	Memory       *http1.Memory
 	Handler      *Handler
 	Gateway      *gateway.Server
+	Lookups      *lookups
+	OwnLimits    *ownLimits
+	Meter        *socket.Meter
 }
 
 const (
@@ -108,8 +113,6 @@
 	if err := p.serveEndpoints(); err != nil {
 		return err
 	}
-	p.Membership.onPartChange = func() { p.Gossip.Notify(p.Membership.ownerAddresses()) }
-	p.Membership.onOwnersChange = func() { p.RateLimiter.MoveParts() }
 	go p.Transport.Serve(background, p.handlePeer)
 	go p.followTable(background, p.ControlState.Rules)
 	go p.followTable(background, p.ControlState.Servers)
@@ -117,7 +120,7 @@
 	go p.Gossip.Run(background)
 	go p.RateLimiter.Run(background)
 	go p.refreshPeriodically(background)
-	go func() { _ = p.Gateway.Serve(listener) }()
+	go func() { _ = p.Gateway.Serve(p.Meter.Listen(listener)) }()
 	go p.watchSettings(background, hangups)
 	p.Log.Info("entry instance started", "incarnation", p.Members.Self().GetIncarnation(), "callers", p.Adapter.Settings.CallerAddress)
 	<-ctx.Done()
@@ -143,7 +146,6 @@
 func (p process) handlePeer(ctx context.Context, request *wire.PeerRequest) *wire.PeerResponse {
 	switch body := request.GetBody().(type) {
 	case *wire.PeerRequest_Gossip:
-		p.RateLimiter.RecordProcess(body.Gossip.GetSender())
 		return &wire.PeerResponse{Body: &wire.PeerResponse_Gossip{Gossip: p.Gossip.Handle(ctx, body.Gossip)}}
 	case *wire.PeerRequest_TokenAsk:
 		return &wire.PeerResponse{Body: &wire.PeerResponse_TokenGrant{TokenGrant: p.RateLimiter.HandleTokenAsk(body.TokenAsk)}}
@@ -159,11 +161,14 @@
 	prunedAt := time.Now()
 	for ctx.Err() == nil {
 		p.Members.SetReady(p.isReady())
+		p.OwnLimits.update(clock.BootTime{}.Now())
 		p.Membership.refresh()
 		p.ControlState.DetectOutage()
 		metrics.GetOrRegisterCounter("refusals.needless", p.Metrics).Inc(int64(p.Balancer.TakeNeedlessRefusals()))
+		counts := p.Balancer.TakeCounts()
+		metrics.GetOrRegisterCounter("servers.isolated_latencies", p.Metrics).Inc(int64(counts.IsolatedLatencies))
 		metrics.GetOrRegisterGauge("quota.part", p.Metrics).Update(int64(p.Membership.ownPart() * partUnit))
-		p.RateLimiter.SyncBuckets(p.ControlState.RateLimitedWorkspaces())
+		p.RateLimiter.Sync()
 		if time.Since(prunedAt) > pruneInterval {
 			prunedAt = time.Now()
 			p.Pool.Prune(p.takesRequests)
@@ -176,11 +181,11 @@
 	}
 }
 
-// giveUpPart ends the use of this instance's part of the limits on workspaces, and tells the
+// giveUpPart ends the use of this instance's share of the limits on workspaces, and tells the
 // owners of token buckets whether its next process can use it at once.
 func (p process) giveUpPart(ctx context.Context) {
 	p.Membership.giveUpPart()
-	if p.RateLimiter.TakeBackParts() {
+	if p.RateLimiter.TakeBack() {
 		p.Members.SetPartFree()
 	}
 	p.askPeers(ctx, p.Membership.ownerAddresses())
@@ -203,6 +208,7 @@
 	p.Handler.StopIn(clock.FromDuration(grace - shutdownReserve))
 	p.Members.SetStopping()
 	p.Membership.refresh()
+	p.RateLimiter.Sync()
 	p.Gossip.NotifyNeighbors()
 	p.Gossip.Notify(p.Membership.ownerAddresses())
 	p.Gateway.DisableKeepAlives()
--- a/steering/wiring.go
+++ b/steering/wiring.go
@@ -4,6 +4,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"io"
+	"math"
 
 	"github.com/bulrushferry/bulrushferry/admission"
 	"github.com/bulrushferry/bulrushferry/clock"
@@ -14,6 +15,8 @@
 	"github.com/bulrushferry/bulrushferry/peer"
 	"github.com/bulrushferry/bulrushferry/placement"
 	"github.com/bulrushferry/bulrushferry/retry"
+	"github.com/bulrushferry/bulrushferry/socket"
+	"github.com/bulrushferry/bulrushferry/tokens"
 	"github.com/bulrushferry/bulrushferry/values"
 	"github.com/bulrushferry/bulrushferry/wire"
 	"github.com/hashicorp/go-hclog"
@@ -52,6 +55,9 @@
 		func() *admission.Controller { return admission.NewController(nil) },
 		newRequestHandler,
 		newGateway,
+		newLookups,
+		newOwnLimits,
+		func() *socket.Meter { return &socket.Meter{} },
 	}
 	for _, constructor := range constructors {
 		if err := c.Provide(constructor); err != nil {
@@ -74,6 +80,10 @@
 		PeerAddress:   s.PeerAddress,
 		CallerAddress: s.CallerAddress,
 		LinkMbitPerS:  int32(s.LinkMbitPerS),
+
+		CpuMillicores:  int32(s.processor() * millicoresPerCore),
+		MemoryMb:       int32(min(s.MemoryMB, math.MaxInt32)),
+		MaxDescriptors: int32(s.MaxFDs),
 	}, s.Bounds.Authority), nil
 }
 
@@ -117,8 +127,7 @@
 
 func newMembership(members *fleet.Members, state *ControlState, balancer *placement.Balancer) *membership {
 	return &membership{
-		bootClock: clock.BootTime{}, members: members, controlState: state, balancer: balancer,
-		onPartChange: func() {}, onOwnersChange: func() {}, startedAt: clock.BootTime{}.Now(),
+		bootClock: clock.BootTime{}, members: members, controlState: state, balancer: balancer, startedAt: clock.BootTime{}.Now(),
 	}
 }
 
@@ -144,18 +153,17 @@
 	return g
 }
 
-func newRateLimiter(s Settings, m *membership, network *peer.Transport, log hclog.Logger, registry metrics.Registry) *RateLimiter {
-	return NewRateLimiter(RateLimiterConfig{
+func newRateLimiter(s Settings, m *membership, network *peer.Transport, log hclog.Logger, registry metrics.Registry) *tokens.Limiter {
+	return tokens.NewLimiter(tokens.Config{
 		Clock:       clock.BootTime{},
 		Log:         log.Named("rates"),
 		Metrics:     registry,
 		Network:     network,
-		BucketOwner: m.bucketOwner,
+		Fleet:       m,
 		Self:        s.Instance,
 		SelfAddress: s.PeerAddress,
-		Process:     ProcessID(m.members.Self().GetIncarnation()),
+		Process:     fleet.ProcessID(m.members.Self().GetIncarnation()),
 		Limit:       m.workspaceLimit,
-		Part:        m.ownPart,
 	})
 }
 
@@ -182,7 +190,7 @@
 	return retry.NewBudget(retry.BudgetConfig{Limits: limits, InstanceCount: m.shareHolderCount})
 }
 
-func newRequestHandler(adapter Adapter, c clock.Clock, log hclog.Logger, registry metrics.Registry, state *ControlState, balancer *placement.Balancer, pool *origin.Pool, budget *retry.Budget, limiter *RateLimiter, crashes *placement.CrashTracker, admissions *admission.Controller) *Handler {
+func newRequestHandler(adapter Adapter, c clock.Clock, log hclog.Logger, registry metrics.Registry, state *ControlState, balancer *placement.Balancer, pool *origin.Pool, budget *retry.Budget, limiter *tokens.Limiter, crashes *placement.CrashTracker, admissions *admission.Controller) *Handler {
 	h := NewHandler(HandlerConfig{
 		Clock:        c,
 		Log:          log.Named("request"),
