--- a/steering/choose.go
+++ b/steering/choose.go
@@ -102,18 +102,18 @@
 	return math.Round(x*100) / 100
 }
 
-// endsInTime reports whether a request with some time left that is expected to take a
-// latency can end before the instance stops. One that may not be repeated must also be able to
-// take somewhat longer than the slowest of its service lately.
-func (h *Handler) endsInTime(req *callerRequest, left, expected clock.Millis) bool {
+// timeToEnd returns the time that is allowed for a request with some time left that is expected
+// to take a latency, and the time until the instance stops. One that may not be repeated must
+// also be able to take somewhat longer than the slowest of its service lately.
+func (h *Handler) timeToEnd(req *callerRequest, left, expected clock.Millis) (needed, stopsIn clock.Millis) {
 	stopsAt := clock.Millis(h.stopsAt.Load())
 	if stopsAt == 0 {
-		return true
+		return 0, math.MaxInt64
 	}
 	now := h.config.Clock.Now()
-	needed := stopLatencyFactor * expected
+	needed = stopLatencyFactor * expected
 	if req.route.Mode != routing.Idempotent {
 		needed = max(needed, h.peaks.Get(now, req.service)*stopPeakPercent/100)
 	}
-	return min(left, needed) < stopsAt-now
+	return min(left, needed), stopsAt - now
 }
--- a/steering/forward.go
+++ b/steering/forward.go
@@ -44,9 +44,10 @@
 			return
 		}
 		left = req.deadline - h.config.Clock.Now()
-		if !h.endsInTime(req, left, choice.ExpectedLatency) {
+		if needed, stopsIn := h.timeToEnd(req, left, choice.ExpectedLatency); needed >= stopsIn {
 			h.release(choice, placement.Result{Outcome: placement.Withheld})
-			h.giveUp(req, maybeRan, "this instance stops before the request would end", 0, "expected_ms", int64(choice.ExpectedLatency), "left_ms", int64(left))
+			h.giveUp(req, maybeRan, "this instance stops before the request would end", 0,
+				"expected_ms", int64(choice.ExpectedLatency), "needed_ms", int64(needed), "stops_in_ms", int64(stopsIn), "left_ms", int64(left))
 			return
 		}
 		if sent > 0 && !h.config.RetryBudget.TryWithdraw(req.service) {
--- a/tokens/exchange.go
+++ b/tokens/exchange.go
@@ -278,12 +278,16 @@
 		if want.GetTokens() > 0 && part != nil {
 			tokens.Add(now, finite(part.GetTokens()), clock.Millis(part.GetEmptyMs()))
 		}
-		if tokens.redirect(now, part.GetOwnerAddress(), l.config.SelfAddress) {
+		if part == nil && tokens.redirectedTo == address {
+			tokens.redirectUntil = 0
+		}
+		if l.peerAt(part.GetOwnerAddress()).failures == 0 && tokens.redirect(now, part.GetOwnerAddress(), l.config.SelfAddress) {
 			l.config.Log.Info("token bucket has another owner", "workspace", workspace, "former", address, "owner", tokens.redirectedTo)
 			due.byPeer[tokens.redirectedTo] = append(due.byPeer[tokens.redirectedTo], workspace)
 			continue
 		}
 		if tokens.awaitsPart(now, part.GetNoPart()) {
+			tokens.wakeFirst(int(tokens.Tokens()))
 			tokens.keepPending()
 			due.pause = noPartPause
 		}
@@ -367,6 +371,15 @@
 	t.waiters, t.pendingWaiters = append(t.pendingWaiters, t.waiters...), nil
 }
 
+// wakeFirst wakes some of the requests that wait for the exchange that has ended, the first ones
+// first.
+func (t *workspaceTokens) wakeFirst(count int) {
+	for ; count > 0 && len(t.pendingWaiters) > 0; count-- {
+		close(t.pendingWaiters[0])
+		t.pendingWaiters = t.pendingWaiters[1:]
+	}
+}
+
 // wakePending wakes the requests that wait for the exchange that has ended.
 func (t *workspaceTokens) wakePending() {
 	for _, wait := range t.pendingWaiters {
