--- a/placement/refusal.go
+++ b/placement/refusal.go
@@ -12,6 +12,9 @@
 		// there was none.
 		Best       *Estimate
 		Exclusions *Exclusions
+		// BesideRoom is set where the servers of the request's object are full, but another
+		// one of the region has a free slot: its service is not short of capacity.
+		BesideRoom bool
 	}
 
 	// Estimate is what a decision on a server was based on.
@@ -171,16 +174,18 @@
 }
 
 // recordNoRoom records that there was no room in time for a request whose object belongs to a
-// region. A request that yields leaves room by intent.
-func (b *Balancer) recordNoRoom(now clock.Millis, q Query, region string) {
+// region, and reports whether another server of the region had a free slot. A request that
+// yields leaves room by intent.
+func (b *Balancer) recordNoRoom(now clock.Millis, q Query, region string) (besideRoom bool) {
 	if q.Yields {
-		return
+		return false
 	}
 	q.WarmOnly = false
-	b.recordRefusal(now, q, region)
+	besideRoom = b.recordRefusal(now, q, region)
 	if !q.MayWait {
 		b.recordOverload(now, q.Service)
 	}
+	return besideRoom
 }
 
 // recordOverload counts a refusal for want of room.
--- a/steering/choose.go
+++ b/steering/choose.go
@@ -29,7 +29,7 @@
 	query.MayWait = now < req.waitsUntil()
 	choice, refusal := h.config.Balancer.Choose(now, query)
 	short := refusal.WantsRoom() || (refusal != nil && req.standing.Yields && refusal.Best != nil)
-	if level, changed := h.config.Admission.RecordArrival(now, who, req.standing, short); changed {
+	if level, changed := h.config.Admission.RecordArrival(now, who, req.standing, short && !refusal.BesideRoom); changed {
 		h.count("admission.levels")
 		h.config.Log.Info("service is short of capacity", "service", req.service, "priority", level.Priority, "share", round(level.Share), "request", req.id)
 	}
