admission: protect urgent requests only where they are a sixth of a service's requests

Requests that yield leave a sixth of the slots free. Arrivals that yield now count as requests of the service.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -76,16 +76,17 @@
 }
 
 // RecordArrival records a request whose standing was asked for, and whether there was no room
-// for it. Requests that yield, or are beyond their workspace's share, do not count: others take
-// their room by intent.
+// for it. Requests that yield, or are beyond their workspace's share, count as arrivals only:
+// others take their room by intent.
 // It returns the own level and whether it has come into force or got another priority.
 func (c *Controller) RecordArrival(now clock.Millis, r Request, standing Standing, short bool) (level Level, changed bool) {
-	if standing.Yields || standing.Over {
-		return Level{}, false
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	own := &c.service(r.Service).own
+	if standing.Yields || standing.Over {
+		own.count(now, r.Priority)
+		return Level{}, false
+	}
 	before := own.level
 	own.record(now, r.Priority, r.Objective, short)
 	return own.level.Level, own.level.inForce(now) && (!before.inForce(now) || own.level.Priority != before.Priority)
--- a/admission/controller_test.go
+++ b/admission/controller_test.go
@@ -37,6 +37,10 @@
 		t.Fatalf("a request yields without a shortage: %+v", s)
 	}
 	arrive(c, now, urgent, 2, true)
+	if s := c.Standing(now, relaxed); s.Yields {
+		t.Errorf("requests yield to a type that needs less than they would leave: %+v", s)
+	}
+	arrive(c, now, urgent, 3, true)
 	if s := c.Standing(now, relaxed); !s.Yields || s.QueueLimit != urgent.Objective/queueDivisor {
 		t.Errorf("a less urgent request does not yield: %+v", s)
 	}
--- a/admission/level.go
+++ b/admission/level.go
@@ -71,6 +71,9 @@
 	// single one may be due to a server that failed, or to its object's few servers.
 	minShort     = 1.5
 	minShortPart = 0.15
+	// minUrgentPart is the part of a service's requests that a level must protect. Requests
+	// that yield leave a sixth of the slots free, which a smaller part would not use.
+	minUrgentPart = 1.0 / 6
 	// maxServedPart is the part of requests without room below which the share rises.
 	maxServedPart = 0.02
 	// urgentTime is how long after a request more urgent ones than others are expected again.
@@ -128,7 +131,7 @@
 	m.add(now, short)
 	m.objective = objective
 	switch {
-	case short && m.isShort():
+	case short && m.isShort() && a.urgentPart(now, priority) >= minUrgentPart:
 		a.tighten(now, priority)
 	case a.level.inForce(now) && a.level.Priority == priority && m.short < maxServedPart*m.requests && now-a.adaptedAt >= shareInterval:
 		a.level.Share = min(a.level.Share+shareStep, MaxShare)
@@ -136,6 +139,25 @@
 	}
 }
 
+// count counts a request of a priority that yields.
+func (a *adaptation) count(now clock.Millis, priority int) {
+	a.meter(priority).add(now, false)
+}
+
+// urgentPart returns the part of the requests of these seconds that have a priority or a more
+// urgent one.
+func (a *adaptation) urgentPart(now clock.Millis, priority int) float64 {
+	urgent, all := 0.0, 0.0
+	for _, m := range a.meters {
+		requests := m.requests * clock.Decay(now-m.at, meterTime)
+		all += requests
+		if m.priority <= priority {
+			urgent += requests
+		}
+	}
+	return urgent / max(all, 1)
+}
+
 // tighten adapts the level to a shortage that requests of a priority meet. A level for more
 // urgent ones stays until it expires: less urgent requests meet a shortage because they yield
 // to them.
