--- a/placement/fanout.go
+++ b/placement/fanout.go
@@ -72,14 +72,13 @@
 }
 
 // recordRefusal records that a request for an object of the region was refused for want
-// of room.
-func (b *Balancer) recordRefusal(now clock.Millis, q Query, region string) {
+// of room. It reports whether another server of the region had a free slot.
+func (b *Balancer) recordRefusal(now clock.Millis, q Query, region string) (besideRoom bool) {
 	f := b.fanoutOf(now, q.Service, region)
-	if b.idleServer(now, q, values.NewSet(region)) != nil {
-		f.refusedBesideRoom = true
-	} else {
-		f.refusedWhileFull = true
-	}
+	besideRoom = b.idleServer(now, q, values.NewSet(region)) != nil
+	f.refusedBesideRoom = f.refusedBesideRoom || besideRoom
+	f.refusedWhileFull = f.refusedWhileFull || !besideRoom
+	return besideRoom
 }
 
 // fanoutOf returns the fanout of the objects of a service that belong to a region,
--- a/placement/refusal.go
+++ b/placement/refusal.go
@@ -12,6 +12,9 @@
 		// there was none.
 		Best       *Estimate
 		Exclusions *Exclusions
+		// BesideRoom is set where the servers of the request's object are full, but another
+		// one of the region has a free slot: its service is not short of capacity.
+		BesideRoom bool
 	}
 
 	// Estimate is what a decision on a server was based on.
@@ -78,6 +81,12 @@
 	pauseSpreadDivisor = 4
 )
 
+// WantsRoom reports whether the request was refused since it would have had to wait too long
+// for a slot. It may be called on nil.
+func (r *Refusal) WantsRoom() bool {
+	return r != nil && r.Best != nil && r.Best.QueueTime > 0
+}
+
 // refuseWithoutServer returns the refusal of a request that no server may take. If servers
 // that could take it have asked for a pause, the caller is told when the shortest ends.
 func (b *Balancer) refuseWithoutServer(now clock.Millis, q Query) *Refusal {
@@ -164,6 +173,21 @@
 	}
 }
 
+// recordNoRoom records that there was no room in time for a request whose object belongs to a
+// region, and reports whether another server of the region had a free slot. A request that
+// yields leaves room by intent.
+func (b *Balancer) recordNoRoom(now clock.Millis, q Query, region string) (besideRoom bool) {
+	if q.Yields {
+		return false
+	}
+	q.WarmOnly = false
+	besideRoom = b.recordRefusal(now, q, region)
+	if !q.MayWait {
+		b.recordOverload(now, q.Service)
+	}
+	return besideRoom
+}
+
 // recordOverload counts a refusal for want of room.
 func (b *Balancer) recordOverload(now clock.Millis, service string) {
 	o, ok := b.overloads[service]
--- a/steering/instance_test.go
+++ b/steering/instance_test.go
@@ -11,12 +11,14 @@
 	"testing"
 	"time"
 
+	"github.com/bulrushferry/bulrushferry/admission"
 	"github.com/bulrushferry/bulrushferry/clock"
 	"github.com/bulrushferry/bulrushferry/fleet"
 	"github.com/bulrushferry/bulrushferry/gateway"
 	"github.com/bulrushferry/bulrushferry/memory"
 	"github.com/bulrushferry/bulrushferry/origin"
 	"github.com/bulrushferry/bulrushferry/placement"
+	"github.com/bulrushferry/bulrushferry/retry"
 	"github.com/bulrushferry/bulrushferry/routing"
 	"github.com/bulrushferry/bulrushferry/wire"
 	"github.com/hashicorp/go-hclog"
@@ -191,9 +193,11 @@
 		Pool: origin.NewPool(origin.PoolConfig{
 			Clock: system, Headers: testHeaders, Metrics: registry, MaxConnections: func(string) int { return 50 }, OnConnect: in.balancer.SetRoundTrip, Memory: in.memory,
 		}),
-		RetryBudget: NewRetryBudget(RetryBudgetConfig{Bounds: func() Bounds { return Bounds{RetryRatio: 1, RetrySlack: 1000} }, InstanceCount: func() int { return 1 }}),
+		RetryBudget: retry.NewBudget(retry.BudgetConfig{Limits: func() retry.Limits { return retry.Limits{Ratio: 1, Slack: 1000} }, InstanceCount: func() int { return 1 }}),
 		Crashes:     placement.NewCrashTracker(),
+		Admission:   admission.NewController(nil),
 	})
+	state.OnServersChange(in.handler.offerNewRoom)
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/steering/wiring.go
+++ b/steering/wiring.go
@@ -6,6 +6,7 @@
 	"io"
 	"math"
 
+	"github.com/bulrushferry/bulrushferry/admission"
 	"github.com/bulrushferry/bulrushferry/clock"
 	"github.com/bulrushferry/bulrushferry/fleet"
 	"github.com/bulrushferry/bulrushferry/gateway"
@@ -13,6 +14,7 @@
 	"github.com/bulrushferry/bulrushferry/origin"
 	"github.com/bulrushferry/bulrushferry/peer"
 	"github.com/bulrushferry/bulrushferry/placement"
+	"github.com/bulrushferry/bulrushferry/retry"
 	"github.com/bulrushferry/bulrushferry/socket"
 	"github.com/bulrushferry/bulrushferry/tokens"
 	"github.com/bulrushferry/bulrushferry/values"
@@ -50,6 +52,7 @@
 		newMemory,
 		newPool,
 		newRetryBudget,
+		func() *admission.Controller { return admission.NewController(nil) },
 		newRequestHandler,
 		newGateway,
 		newLookups,
@@ -136,7 +139,7 @@
 	return peer.NewTransport(peer.TransportConfig{Address: s.PeerAddress, TLS: tls, Log: log.Named("peer"), CloseIdle: true})
 }
 
-func newGossip(state *ControlState, members *fleet.Members, network *peer.Transport, c clock.Clock, crashes *placement.CrashTracker, balancer *placement.Balancer, log hclog.Logger, registry metrics.Registry) *fleet.Gossip {
+func newGossip(state *ControlState, members *fleet.Members, network *peer.Transport, c clock.Clock, crashes *placement.CrashTracker, balancer *placement.Balancer, levels *admission.Controller, log hclog.Logger, registry metrics.Registry) *fleet.Gossip {
 	g := fleet.NewGossip(fleet.GossipConfig{
 		Clock:         clock.BootTime{},
 		Log:           log.Named("gossip"),
@@ -144,7 +147,7 @@
 		Members:       members,
 		Tables:        []*fleet.Replica{state.Rules, state.Servers},
 		OnPeerRestart: network.Disconnect,
-		Observations:  &observations{clock: c, crashes: crashes, balancer: balancer, log: log, registry: registry},
+		Observations:  &observations{clock: c, crashes: crashes, balancer: balancer, levels: levels, config: state.Config, log: log, registry: registry},
 	})
 	state.OnRulesChange(g.NotifyNeighbors)
 	return g
@@ -180,12 +183,16 @@
 	return memory.NewAccount(memory.LimitsOf(s.MemoryMB))
 }
 
-func newRetryBudget(l *liveSettings, m *membership) *RetryBudget {
-	return NewRetryBudget(RetryBudgetConfig{Bounds: func() Bounds { return l.get().Bounds }, InstanceCount: m.shareHolderCount})
+func newRetryBudget(l *liveSettings, m *membership) *retry.Budget {
+	limits := func() retry.Limits {
+		bounds := l.get().Bounds
+		return retry.Limits{Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack}
+	}
+	return retry.NewBudget(retry.BudgetConfig{Limits: limits, InstanceCount: m.shareHolderCount})
 }
 
-func newRequestHandler(adapter Adapter, c clock.Clock, log hclog.Logger, registry metrics.Registry, state *ControlState, balancer *placement.Balancer, pool *origin.Pool, budget *RetryBudget, limiter *tokens.Limiter, crashes *placement.CrashTracker) *Handler {
-	return NewHandler(HandlerConfig{
+func newRequestHandler(adapter Adapter, c clock.Clock, log hclog.Logger, registry metrics.Registry, state *ControlState, balancer *placement.Balancer, pool *origin.Pool, budget *retry.Budget, limiter *tokens.Limiter, crashes *placement.CrashTracker, admissions *admission.Controller) *Handler {
+	h := NewHandler(HandlerConfig{
 		Clock:        c,
 		Log:          log.Named("request"),
 		Metrics:      registry,
@@ -196,7 +203,10 @@
 		RetryBudget:  budget,
 		RateLimiter:  limiter,
 		Crashes:      crashes,
+		Admission:    admissions,
 	})
+	state.OnServersChange(h.offerNewRoom)
+	return h
 }
 
 func newGateway(h *Handler, state *ControlState, log hclog.Logger, account *memory.Account, l *liveSettings, registry metrics.Registry) *gateway.Server {
