--- a/steering/forward_test.go
+++ b/steering/forward_test.go
@@ -157,9 +157,12 @@
 			for id := 1; id <= 2; id++ {
 				_, _ = fmt.Fprintf(c, "POST /b/x HTTP/1.1\r\nHost: h\r\nRequest-Id: %d\r\nKey: k\r\nContent-Length: 0\r\n\r\n", id)
 			}
-			for wait := 0; wait < 2000 && servers[0].arrivedAfter(time.Time{}) == 0; wait++ {
+			for wait := 0; wait < 2000 && (servers[0].arrivedAfter(time.Time{}) == 0 || in.read.Load() < 2); wait++ {
 				time.Sleep(time.Millisecond)
 			}
+			// The second request has been read. Its key is looked up at once; only then
+			// can it lose its permission.
+			time.Sleep(20 * time.Millisecond)
 			lose(in)
 			close(release)
 			reader := bufio.NewReader(c)
--- a/steering/instance_test.go
+++ b/steering/instance_test.go
@@ -1,6 +1,7 @@
 package steering
 
 import (
+	"context"
 	"bufio"
 	"fmt"
 	"io"
@@ -41,6 +42,8 @@
 	// testInstance serves callers on a real socket, with real connections to scripted
 	// servers and without a platform.
 	testInstance struct {
+		// read counts the requests that callers have sent.
+		read     atomic.Int64
 		t        *testing.T
 		address  string
 		handler  *Handler
@@ -204,11 +207,17 @@
 	}
 	t.Cleanup(func() { _ = listener.Close() })
 	in.address = listener.Addr().String()
-	server := gateway.NewServer(gateway.ServerConfig{Handler: in.handler, Log: hclog.NewNullLogger(), Limits: state.Limits})
+	server := gateway.NewServer(gateway.ServerConfig{Handler: in, Log: hclog.NewNullLogger(), Limits: state.Limits})
 	go func() { _ = server.Serve(listener) }()
 	return in
 }
 
+// Serve implements gateway.Handler. It counts the requests that have been read.
+func (in *testInstance) Serve(ctx context.Context, x *gateway.Exchange) {
+	in.read.Add(1)
+	in.handler.Serve(ctx, x)
+}
+
 // list applies all servers as ready, and the configuration, at a version.
 func (in *testInstance) list(version int64) {
 	ids := make([]string, 0, len(in.servers))
