--- a/steering/instance_test.go
+++ b/steering/instance_test.go
@@ -1,8 +1,8 @@
 package steering
 
 import (
-	"context"
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
