steering: move look-ups and the use of own limits to packages

Behaviour, log fields and metrics are unchanged.

- steering/own_limits.go becomes package usage. usage.Monitor takes its limits, the setter of the membership entry and the number of server connections as functions.
Settings.processor stays in steering, which also states it in the membership entry.
- steering/wiring.go connects both.

The tests moved along with the same checks.

--- a/steering/lookups.go
+++ b/lookup/lookup.go
@@ -1,4 +1,6 @@
-package steering
+// Package lookup answers callers' look-ups of instances from what this instance knows of the
+// fleet. Package directory chooses the instances.
+package lookup
 
 import (
 	"sync"
@@ -7,21 +9,16 @@
 
 	"github.com/bulrushferry/bulrushferry/clock"
 	"github.com/bulrushferry/bulrushferry/directory"
-	"github.com/bulrushferry/bulrushferry/fleet"
 	"github.com/bulrushferry/bulrushferry/wire"
 	"github.com/hashicorp/go-hclog"
 	"github.com/rcrowley/go-metrics"
 )
 
 type (
-	// lookups answers callers' look-ups of instances. It is safe for concurrent use.
-	lookups struct {
-		clock        clock.Clock
-		members      *fleet.Members
-		controlState *ControlState
-		log          hclog.Logger
-		metrics      metrics.Registry
-		startedAt    clock.Millis
+	// Server answers callers' look-ups of instances. It is safe for concurrent use.
+	Server struct {
+		config    ServerConfig
+		startedAt clock.Millis
 		// held counts the look-ups that wait for an instance to become ready.
 		held atomic.Int64
 
@@ -35,6 +32,32 @@
 		logged   map[string]clock.Millis
 		unlogged map[string]int
 	}
+
+	// ServerConfig configures a Server.
+	ServerConfig struct {
+		Clock   clock.Clock
+		Log     hclog.Logger
+		Metrics metrics.Registry
+		Members Members
+		// HasAuthority reports whether this instance may serve requests.
+		HasAuthority func() bool
+		// Joined reports whether this instance has joined the fleet.
+		Joined func() bool
+	}
+
+	// Members provides the membership entries of the fleet.
+	Members interface {
+		// Self returns this instance's entry.
+		Self() *wire.FleetInstance
+		// Alive returns the entries of the other instances that have been heard from
+		// recently.
+		Alive(now clock.Millis) []*wire.FleetInstance
+		// LastHeard returns the entries of those that were alive when the last of them
+		// was heard from.
+		LastHeard(now clock.Millis) []*wire.FleetInstance
+		// Running returns the entries of the other instances that may be running.
+		Running() []*wire.FleetInstance
+	}
 )
 
 const (
@@ -60,39 +83,37 @@
 	millicoresPerCore = 1000
 )
 
-func newLookups(members *fleet.Members, state *ControlState, log hclog.Logger, registry metrics.Registry) *lookups {
-	return &lookups{
-		clock: clock.BootTime{}, members: members, controlState: state, log: log.Named("lookup"), metrics: registry,
-		startedAt: clock.BootTime{}.Now(), logged: make(map[string]clock.Millis), unlogged: make(map[string]int),
-	}
+// NewServer returns the Server of an instance that starts now.
+func NewServer(config ServerConfig) *Server {
+	return &Server{config: config, startedAt: config.Clock.Now(), logged: make(map[string]clock.Millis), unlogged: make(map[string]int)}
 }
 
-// isReady reports whether this instance accepts requests: it has authority and is not
+// IsReady reports whether this instance accepts requests: it has authority and is not
 // stopping.
-func (l *lookups) isReady() bool {
-	return !l.members.Self().GetStopping() && l.controlState.HasAuthority()
+func (s *Server) IsReady() bool {
+	return !s.config.Members.Self().GetStopping() && s.config.HasAuthority()
 }
 
-// answer returns the answer to a look-up. While no instance is known to be ready, just after
+// Answer returns the answer to a look-up. While no instance is known to be ready, just after
 // a start, it waits for one for a short time.
-func (l *lookups) answer(caller directory.Caller, received time.Time) directory.Answer {
-	now := l.clock.Now()
-	l.mu.Lock()
-	caller.Shared = l.shared.Record(caller.Address, now)
-	l.mu.Unlock()
-	view := l.view(now)
+func (s *Server) Answer(caller directory.Caller, received time.Time) directory.Answer {
+	now := s.config.Clock.Now()
+	s.mu.Lock()
+	caller.Shared = s.shared.Record(caller.Address, now)
+	s.mu.Unlock()
+	view := s.view(now)
 	answer := directory.Choose(caller, view)
-	if isUnready(answer) && now-l.startedAt < startTime {
-		defer l.held.Add(-1)
-		if l.held.Add(1) <= maxHeldLookups {
+	if isUnready(answer) && now-s.startedAt < startTime {
+		defer s.held.Add(-1)
+		if s.held.Add(1) <= maxHeldLookups {
 			for time.Since(received) < maxLookupHold && isUnready(answer) {
 				time.Sleep(lookupRecheck)
-				view = l.view(l.clock.Now())
+				view = s.view(s.config.Clock.Now())
 				answer = directory.Choose(caller, view)
 			}
 		}
 	}
-	l.record(caller, view, answer, time.Since(received))
+	s.record(caller, view, answer, time.Since(received))
 	return answer
 }
 
@@ -103,48 +124,48 @@
 
 // record counts a look-up and logs, at a bounded rate, why its answer is not a full one or
 // late.
-func (l *lookups) record(caller directory.Caller, view directory.View, answer directory.Answer, took time.Duration) {
-	metrics.GetOrRegisterCounter("lookups."+string(answer.Cause), l.metrics).Inc(1)
+func (s *Server) record(caller directory.Caller, view directory.View, answer directory.Answer, took time.Duration) {
+	metrics.GetOrRegisterCounter("lookups."+string(answer.Cause), s.config.Metrics).Inc(1)
 	reason := string(answer.Cause)
 	if took > lateLookup {
-		metrics.GetOrRegisterCounter("lookups."+lateReason, l.metrics).Inc(1)
+		metrics.GetOrRegisterCounter("lookups."+lateReason, s.config.Metrics).Inc(1)
 		reason = lateReason
 	}
 	if reason == string(directory.Full) {
 		return
 	}
-	now := l.clock.Now()
-	l.mu.Lock()
-	l.unlogged[reason]++
-	count := l.unlogged[reason]
-	last, ok := l.logged[reason]
+	now := s.config.Clock.Now()
+	s.mu.Lock()
+	s.unlogged[reason]++
+	count := s.unlogged[reason]
+	last, ok := s.logged[reason]
 	if ok && now-last < lookupLogInterval {
-		l.mu.Unlock()
+		s.mu.Unlock()
 		return
 	}
-	l.logged[reason], l.unlogged[reason] = now, 0
-	l.mu.Unlock()
-	l.log.Warn("look-up without a full answer in time", "reason", reason, "lookups", count, "caller", caller.Address, "region", caller.Region, "domain", caller.Domain,
+	s.logged[reason], s.unlogged[reason] = now, 0
+	s.mu.Unlock()
+	s.config.Log.Warn("look-up without a full answer in time", "reason", reason, "lookups", count, "caller", caller.Address, "region", caller.Region, "domain", caller.Domain,
 		"named", len(answer.Addresses), "ready", len(view.Ready), "last_heard", len(view.LastHeard), "unready", len(view.Unready),
-		"self_ready", view.SelfReady, "joined", l.controlState.Joined(), "took_ms", took.Milliseconds(), "up_ms", int64(now-l.startedAt))
+		"self_ready", view.SelfReady, "joined", s.config.Joined(), "took_ms", took.Milliseconds(), "up_ms", int64(now-s.startedAt))
 }
 
 // view returns what this instance knows of the fleet. It takes a new view if the last one is
 // too old, has no ready instance, or if this instance has become or ceased to be ready.
-func (l *lookups) view(now clock.Millis) directory.View {
-	ready := l.isReady()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if now-l.recentAt >= viewAge || len(l.recent.Ready) == 0 || ready != l.recent.SelfReady {
-		l.recent, l.recentAt = l.takeView(now, ready), now
+func (s *Server) view(now clock.Millis) directory.View {
+	ready := s.IsReady()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now-s.recentAt >= viewAge || len(s.recent.Ready) == 0 || ready != s.recent.SelfReady {
+		s.recent, s.recentAt = s.takeView(now, ready), now
 	}
-	return l.recent
+	return s.recent
 }
 
 // takeView reads the members.
-func (l *lookups) takeView(now clock.Millis, selfReady bool) directory.View {
-	self := l.members.Self()
-	alive := l.members.Alive(now)
+func (s *Server) takeView(now clock.Millis, selfReady bool) directory.View {
+	self := s.config.Members.Self()
+	alive := s.config.Members.Alive(now)
 	view := directory.View{Self: self.GetInstance(), SelfReady: selfReady, Isolated: len(alive) == 0}
 	for _, info := range alive {
 		if info.GetReady() && !info.GetStopping() {
@@ -155,14 +176,14 @@
 		view.Ready = append(view.Ready, directoryInstance(self))
 	}
 	if view.Isolated {
-		for _, info := range l.members.LastHeard(now) {
+		for _, info := range s.config.Members.LastHeard(now) {
 			if info.GetReady() && !info.GetStopping() {
 				view.LastHeard = append(view.LastHeard, directoryInstance(info))
 			}
 		}
 	}
 	if len(view.Ready) == 0 {
-		for _, info := range append(l.members.Running(), self) {
+		for _, info := range append(s.config.Members.Running(), self) {
 			if !info.GetStopping() && info.GetCallerAddress() != "" {
 				view.Unready = append(view.Unready, directoryInstance(info))
 			}
--- a/steering/lookups_test.go
+++ b/lookup/lookup_test.go
@@ -1,7 +1,8 @@
-package steering
+package lookup
 
 import (
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -13,19 +14,27 @@
 	"github.com/rcrowley/go-metrics"
 )
 
-// newTestLookups returns the look-ups of an instance that is ready if asked, and has been
+// testState is what a Server under test is told.
+type testState struct {
+	manualClock *clock.Manual
+	members     *fleet.Members
+	authority   *atomic.Bool
+}
+
+// newTestServer returns the Server of an instance that is ready if asked, and has been
 // running for long.
-func newTestLookups(ready bool) (*lookups, testControlState) {
-	state := newTestControlState()
+func newTestServer(ready bool) (*Server, testState) {
+	state := testState{manualClock: &clock.Manual{}, authority: &atomic.Bool{}}
+	state.manualClock.Set(100 * clock.Second)
 	self := &wire.FleetInstance{Instance: "self", CallerAddress: "self", Region: "r", FailureDomain: "d"}
 	state.members = fleet.NewMembers(self, 5*clock.Second)
-	state.config.Members = state.members
-	if ready {
-		state.applyTables(1, "x")
-	}
-	l := newLookups(state.members, state.ControlState, hclog.NewNullLogger(), metrics.NewRegistry())
-	l.clock, l.startedAt = state.manualClock, 0
-	return l, state
+	state.authority.Store(ready)
+	s := NewServer(ServerConfig{
+		Clock: state.manualClock, Log: hclog.NewNullLogger(), Metrics: metrics.NewRegistry(), Members: state.members,
+		HasAuthority: state.authority.Load, Joined: func() bool { return true },
+	})
+	s.startedAt = 0
+	return s, state
 }
 
 func testPeer(name string, ready bool) *wire.FleetInstance {
@@ -37,25 +46,25 @@
 func TestLookupsUnderFailure(t *testing.T) {
 	cases := map[string]struct {
 		ready bool
-		act   func(state testControlState)
+		act   func(state testState)
 		want  []string
 		cause directory.Cause
 	}{
 		"alone":              {ready: true, want: []string{"self"}, cause: directory.Full},
 		"starting and alone": {want: []string{"self"}, cause: directory.NotReady},
 		"starting, knows the platform's list": {
-			act: func(state testControlState) {
+			act: func(state testState) {
 				state.members.RecordRegistered([]*wire.FleetInstance{testPeer("a", false)}, state.manualClock.Now())
 			},
 			want: []string{"a", "self"}, cause: directory.NotReady,
 		},
 		"starting, hears a ready peer": {
-			act:  func(state testControlState) { state.members.Record(testPeer("a", true), state.manualClock.Now()) },
+			act:  func(state testState) { state.members.Record(testPeer("a", true), state.manualClock.Now()) },
 			want: []string{"a"}, cause: directory.Full,
 		},
 		"hears nobody any more": {
 			ready: true,
-			act: func(state testControlState) {
+			act: func(state testState) {
 				state.members.Record(testPeer("replaced", true), state.manualClock.Now()-30*clock.Second)
 				state.members.Record(testPeer("a", true), state.manualClock.Now()-4*clock.Second)
 				state.members.Record(testPeer("b", true), state.manualClock.Now()-4*clock.Second)
@@ -67,14 +76,14 @@
 		},
 		"hears nobody for long": {
 			ready: true,
-			act: func(state testControlState) {
+			act: func(state testState) {
 				state.members.Record(testPeer("a", true), state.manualClock.Now()-9*clock.Second)
 			},
 			want: []string{"self"}, cause: directory.Full,
 		},
 		"a peer is silent, another is not": {
 			ready: true,
-			act: func(state testControlState) {
+			act: func(state testState) {
 				state.members.Record(testPeer("a", true), state.manualClock.Now())
 				state.members.Record(testPeer("b", true), state.manualClock.Now()-9*clock.Second)
 			},
@@ -82,7 +91,7 @@
 		},
 		"near a limit": {
 			ready: true,
-			act: func(state testControlState) {
+			act: func(state testState) {
 				state.members.SetNearLimit("memory")
 				state.members.Record(testPeer("a", true), state.manualClock.Now())
 			},
@@ -90,7 +99,7 @@
 		},
 		"was near a limit before its restart": {
 			ready: true,
-			act: func(state testControlState) {
+			act: func(state testState) {
 				ended := testPeer("a", true)
 				ended.Incarnation, ended.NearLimit = "1", "memory"
 				restarted := testPeer("a", true)
@@ -101,30 +110,30 @@
 			want: []string{"a", "self"}, cause: directory.Full,
 		},
 		"all near a limit": {
-			ready: true, act: func(state testControlState) { state.members.SetNearLimit("memory") },
+			ready: true, act: func(state testState) { state.members.SetNearLimit("memory") },
 			want: []string{"self"}, cause: directory.NearLimits,
 		},
 		"stopping": {
 			ready: true,
-			act: func(state testControlState) {
+			act: func(state testState) {
 				state.members.SetStopping()
 				state.members.Record(testPeer("a", true), state.manualClock.Now())
 			},
 			want: []string{"a"}, cause: directory.Full,
 		},
-		"stopping and alone": {ready: true, act: func(state testControlState) { state.members.SetStopping() }, cause: directory.Nobody},
+		"stopping and alone": {ready: true, act: func(state testState) { state.members.SetStopping() }, cause: directory.Nobody},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			l, state := newTestLookups(c.ready)
+			s, state := newTestServer(c.ready)
 			if c.act != nil {
 				c.act(state)
 			}
-			got := l.answer(directory.Caller{Address: "127.0.0.1", Region: "r", Domain: "d"}, time.Now())
+			got := s.Answer(directory.Caller{Address: "127.0.0.1", Region: "r", Domain: "d"}, time.Now())
 			if fmt.Sprint(got.Addresses) != fmt.Sprint(c.want) || got.Cause != c.cause {
 				t.Errorf("got %v, cause %s, want %v, cause %s", got.Addresses, got.Cause, c.want, c.cause)
 			}
-			if n := metrics.GetOrRegisterCounter("lookups."+string(c.cause), l.metrics).Count(); n != 1 {
+			if n := metrics.GetOrRegisterCounter("lookups."+string(c.cause), s.config.Metrics).Count(); n != 1 {
 				t.Errorf("%d look-ups were counted with cause %s", n, c.cause)
 			}
 		})
@@ -135,17 +144,17 @@
 // after all instances have started: they wait for a ready one, but not for long.
 func TestLookupWaitsForStart(t *testing.T) {
 	caller := directory.Caller{Address: "127.0.0.1", Region: "r", Domain: "d"}
-	l, state := newTestLookups(false)
-	l.startedAt = state.manualClock.Now()
+	s, state := newTestServer(false)
+	s.startedAt = state.manualClock.Now()
 	started := time.Now()
-	got := l.answer(caller, started)
+	got := s.Answer(caller, started)
 	if took := time.Since(started); got.Cause != directory.NotReady || took < maxLookupHold {
 		t.Errorf("got cause %s after %v while nobody becomes ready", got.Cause, took)
 	}
 	done := make(chan directory.Answer)
-	go func() { done <- l.answer(caller, time.Now()) }()
+	go func() { done <- s.Answer(caller, time.Now()) }()
 	time.Sleep(3 * lookupRecheck)
-	state.applyTables(1, "x")
+	state.authority.Store(true)
 	if got := <-done; got.Cause != directory.Full {
 		t.Errorf("got cause %s after the instance has become ready", got.Cause)
 	}
@@ -154,11 +163,11 @@
 // TestLookupLogIsBounded guards against a log line for each look-up while something is
 // wrong.
 func TestLookupLogIsBounded(t *testing.T) {
-	l, _ := newTestLookups(false)
+	s, _ := newTestServer(false)
 	lines := &countingWriter{}
-	l.log = hclog.New(&hclog.LoggerOptions{Output: lines})
+	s.config.Log = hclog.New(&hclog.LoggerOptions{Output: lines})
 	for range 100 {
-		l.answer(directory.Caller{Address: "127.0.0.1"}, time.Now())
+		s.Answer(directory.Caller{Address: "127.0.0.1"}, time.Now())
 	}
 	if lines.count != 1 {
 		t.Errorf("%d lines for 100 look-ups, want one", lines.count)
@@ -175,14 +184,14 @@
 func BenchmarkLookup(b *testing.B) {
 	for _, size := range []int{7, 105, 1000, 5300} {
 		b.Run(fmt.Sprint(size), func(b *testing.B) {
-			l, state := newTestLookups(true)
+			s, state := newTestServer(true)
 			for i := range size {
 				peer := testPeer(fmt.Sprint("i", i), true)
 				peer.FailureDomain, peer.CpuMillicores = fmt.Sprint(i%6), int32(100+700*(i%2))
 				state.members.Record(peer, state.manualClock.Now())
 			}
 			for b.Loop() {
-				l.answer(directory.Caller{Address: "127.0.0.1", Region: "r", Domain: "1"}, time.Now())
+				s.Answer(directory.Caller{Address: "127.0.0.1", Region: "r", Domain: "1"}, time.Now())
 			}
 		})
 	}
--- a/steering/capacity.go
+++ b/steering/capacity.go
@@ -45,6 +45,14 @@
 	return capacityOf(l.get())
 }
 
+// processor returns how many cores the instance may use; zero if that is not known.
+func (s Settings) processor() float64 {
+	if s.CPUShare > 0 && s.Cores > 0 {
+		return s.CPUShare * s.Cores
+	}
+	return max(s.CPUShare, s.Cores)
+}
+
 // updateMemory frees memory if the limit has been lowered, and updates the gauges of what is
 // held.
 func (p process) updateMemory() {
--- a/steering/endpoints.go
+++ b/steering/endpoints.go
@@ -28,7 +28,7 @@
 	s := p.Adapter.Settings
 	maxAge := func() clock.Millis { return min(maxLookupAge, p.LiveSettings.get().Bounds.LookupAge) }
 	handlers := map[string]fasthttp.RequestHandler{
-		s.LookupAddress:  p.Adapter.Endpoints.Lookup(p.Lookups.answer, maxAge),
+		s.LookupAddress:  p.Adapter.Endpoints.Lookup(p.Lookups.Answer, maxAge),
 		s.ReadyAddress:   p.Adapter.Endpoints.Ready(p.isReady),
 		s.MetricsAddress: p.serveMetrics,
 	}
@@ -96,5 +96,5 @@
 // isReady reports whether this instance accepts requests: it has authority and is not
 // stopping.
 func (p process) isReady() bool {
-	return p.Lookups.isReady()
+	return p.Lookups.IsReady()
 }
--- a/steering/run.go
+++ b/steering/run.go
@@ -14,12 +14,14 @@
 	"github.com/bulrushferry/bulrushferry/clock"
 	"github.com/bulrushferry/bulrushferry/fleet"
 	"github.com/bulrushferry/bulrushferry/gateway"
+	"github.com/bulrushferry/bulrushferry/lookup"
 	"github.com/bulrushferry/bulrushferry/memory"
 	"github.com/bulrushferry/bulrushferry/origin"
 	"github.com/bulrushferry/bulrushferry/peer"
 	"github.com/bulrushferry/bulrushferry/placement"
 	"github.com/bulrushferry/bulrushferry/socket"
 	"github.com/bulrushferry/bulrushferry/tokens"
+	"github.com/bulrushferry/bulrushferry/usage"
 	"github.com/bulrushferry/bulrushferry/wire"
 	"github.com/hashicorp/go-hclog"
 	"github.com/joomcode/errorx"
@@ -46,8 +48,8 @@
 	Memory       *memory.Account
 	Handler      *Handler
 	Gateway      *gateway.Server
-	Lookups      *lookups
-	OwnLimits    *ownLimits
+	Lookups      *lookup.Server
+	Usage        *usage.Monitor
 	Meter        *socket.Meter
 }
 
@@ -165,7 +167,7 @@
 	prunedAt := time.Now()
 	for ctx.Err() == nil {
 		p.Members.SetReady(p.isReady())
-		p.OwnLimits.update(clock.BootTime{}.Now())
+		p.Usage.Update()
 		p.Membership.refresh()
 		p.ControlState.DetectOutage()
 		p.updateMemory()
--- a/steering/wiring.go
+++ b/steering/wiring.go
@@ -10,6 +10,7 @@
 	"github.com/bulrushferry/bulrushferry/clock"
 	"github.com/bulrushferry/bulrushferry/fleet"
 	"github.com/bulrushferry/bulrushferry/gateway"
+	"github.com/bulrushferry/bulrushferry/lookup"
 	"github.com/bulrushferry/bulrushferry/memory"
 	"github.com/bulrushferry/bulrushferry/origin"
 	"github.com/bulrushferry/bulrushferry/peer"
@@ -17,6 +18,7 @@
 	"github.com/bulrushferry/bulrushferry/retry"
 	"github.com/bulrushferry/bulrushferry/socket"
 	"github.com/bulrushferry/bulrushferry/tokens"
+	"github.com/bulrushferry/bulrushferry/usage"
 	"github.com/bulrushferry/bulrushferry/values"
 	"github.com/bulrushferry/bulrushferry/wire"
 	"github.com/hashicorp/go-hclog"
@@ -25,7 +27,8 @@
 )
 
 const (
-	incarnationBytes = 6
+	incarnationBytes  = 6
+	millicoresPerCore = 1000
 )
 
 // newContainer returns a dependency injection container with the constructors of all
@@ -55,8 +58,8 @@
 		func() *admission.Controller { return admission.NewController(nil) },
 		newRequestHandler,
 		newGateway,
-		newLookups,
-		newOwnLimits,
+		newLookupServer,
+		newUsageMonitor,
 		func() *socket.Meter { return &socket.Meter{} },
 	}
 	for _, constructor := range constructors {
@@ -219,3 +222,30 @@
 		Metrics:        registry,
 	})
 }
+
+func newLookupServer(members *fleet.Members, state *ControlState, log hclog.Logger, registry metrics.Registry) *lookup.Server {
+	return lookup.NewServer(lookup.ServerConfig{
+		Clock:        clock.BootTime{},
+		Log:          log.Named("lookup"),
+		Metrics:      registry,
+		Members:      members,
+		HasAuthority: state.HasAuthority,
+		Joined:       state.Joined,
+	})
+}
+
+func newUsageMonitor(l *liveSettings, members *fleet.Members, meter *socket.Meter, pool *origin.Pool, log hclog.Logger, registry metrics.Registry) *usage.Monitor {
+	return usage.NewMonitor(usage.Config{
+		Clock:             clock.BootTime{},
+		Log:               log.Named("limits"),
+		Metrics:           registry,
+		Limits:            func() usage.Limits { return usageLimits(l.get()) },
+		SetNearLimit:      members.SetNearLimit,
+		Meter:             meter,
+		ServerConnections: pool.Open,
+	})
+}
+
+func usageLimits(s Settings) usage.Limits {
+	return usage.Limits{MemoryMB: s.MemoryMB, MaxFDs: s.MaxFDs, Cores: s.processor(), LinkMbitPerS: s.LinkMbitPerS}
+}
