steering: word the log messages on peers' reports plainly

The messages "backend server leaves, says a peer" and "service is short of capacity, says a peer" become "peer reports that backend server leaves" and "peer reports that service is short of capacity". Fields and levels are unchanged.

--- a/steering/observations.go
+++ b/steering/observations.go
@@ -66,7 +66,7 @@
 		incarnation := placement.Incarnation{ID: r.GetServer(), StartUnixMs: r.GetStartUnixMs()}
 		if o.balancer.MarkLeaving(now, placement.Departure{Incarnation: incarnation, Age: age(r.GetAgeMs(), transit)}) {
 			metrics.GetOrRegisterCounter("servers.leaving", o.registry).Inc(1)
-			o.log.Info("backend server leaves, says a peer", "server", r.GetServer(), "peer", from, "age_ms", r.GetAgeMs())
+			o.log.Info("peer reports that backend server leaves", "server", r.GetServer(), "peer", from, "age_ms", r.GetAgeMs())
 		}
 	}
 }
@@ -94,7 +94,7 @@
 	level.Age += transit
 	if o.levels.Record(now, level) {
 		metrics.GetOrRegisterCounter("admission.levels_of_peers", o.registry).Inc(1)
-		o.log.Info("service is short of capacity, says a peer", fields...)
+		o.log.Info("peer reports that service is short of capacity", fields...)
 	}
 }
 
