fleet, quota, tokens: state units and correct comments

Divisors such as clockTolerance and clockMargin say which percentage they mean. The comments of RestartWindow, LeaseTerm and firstAnswerTime no longer rest on figures of a test environment. The comments of startTokenWait, startTime and takeOrWait match the code: they also apply to the start of the whole fleet and to the instance's own bucket. Comments only, no change of behaviour.

--- a/fleet/last_heard.go
+++ b/fleet/last_heard.go
@@ -20,8 +20,8 @@
 	m.setSelf(self)
 }
 
-// lastHeardTime is how long an isolated instance goes on naming those that it heard from last.
-// Callers that are sent to one that has ended lose time, so that it must not be named for long.
+// lastHeardTime is how long an isolated instance continues to name those that it heard from
+// last. It is short because callers lose time at an instance that has ended.
 const lastHeardTime = 5 * clock.Second
 
 // LastHeard returns the other instances that were alive when the last of them was heard
--- a/fleet/parts.go
+++ b/fleet/parts.go
@@ -158,9 +158,9 @@
 	return false
 }
 
-// LeaseTerm returns how long a lease holds after it was last stated. 99 in 100 leases are stated
-// again within 1.0 s among 7 instances, 1.5 s among 33 and 1.8 s among 105
-// (TestLeasesStayRenewed); the others cost one share for a moment.
+// LeaseTerm returns how long a lease holds after it was last stated. It grows with the fleet, as
+// the time in which heartbeats spread does: at least 98 in 100 leases are stated again in time
+// (TestLeasesStayRenewed). Each of the others costs one share until it is stated again.
 func (m *Members) LeaseTerm() clock.Millis {
 	return m.aliveTimeout() * 7 / 10
 }
--- a/fleet/restore.go
+++ b/fleet/restore.go
@@ -30,7 +30,7 @@
 
 const (
 	// replacedRetention is how long a replaced row is recognized in a restored copy of the
-	// store. Copies are seconds old.
+	// store. Backups are expected to be seconds old, well within this time.
 	replacedRetention = 60 * clock.Second
 	// maxReplaced bounds the replaced rows that are remembered.
 	maxReplaced = 4096
--- a/fleet/start.go
+++ b/fleet/start.go
@@ -16,13 +16,13 @@
 	Now                clock.Millis
 }
 
-// Earliest and Latest return between which times by this instance's clock a time by the store's
-// clock lies.
+// Earliest returns the earliest time by this instance's clock that a time by the store's clock
+// may be.
 func (r StoreRead) Earliest(at clock.Millis) clock.Millis {
 	return r.SentAt + at - r.Now
 }
 
-// Latest returns the other end of the interval that begins with Earliest.
+// Latest returns the latest time by this instance's clock that a time by the store's clock may be.
 func (r StoreRead) Latest(at clock.Millis) clock.Millis {
 	return r.ReceivedAt + at - r.Now
 }
@@ -46,7 +46,7 @@
 
 const (
 	// RestartWindow is the time within which all instances must have started. It covers the
-	// 0.3 s in which the processes of a fleet start, and their registration.
+	// time from the first to the last start of a process, and their registration.
 	RestartWindow = 1500 * clock.Millis(1)
 	// RestartTerm is how long after the first start the owners of token buckets use the
 	// shares of all listed instances. An instance that may be listed in a proof uses its
@@ -59,14 +59,15 @@
 	// for instances that are new in the list.
 	urgentRanks = 8
 	// urgentLookPause, laterLookPause and lookPause are the pauses between two reads of the
-	// list. Most fleets have started within urgentTime. A list of 1,000 is some 400 KB, so that
-	// the pause grows with the list.
+	// list. Most fleets have started within urgentTime. The first two pauses grow by one
+	// millisecond for each listedPerMilli instances, since a list of 1,000 has about 400 KB.
 	urgentLookPause = 20 * clock.Millis(1)
 	laterLookPause  = 60 * clock.Millis(1)
 	lookPause       = 500 * clock.Millis(1)
 	urgentTime      = 500 * clock.Millis(1)
 	listedPerMilli  = 10
-	// clockTolerance is the fraction of a time by which it may differ by another clock.
+	// clockTolerance is the largest relative difference between two clocks' measurements of
+	// the same time, as a divisor: 20 means 5 %.
 	clockTolerance = 20
 )
 
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -43,8 +43,8 @@
 	return &Ledger{process: process, lessors: make(map[uint64]*ledgerEntry), groups: make(map[uint64]*ledgerGroup), nextEnd: unknownTime}
 }
 
-// Renew extends a lease that holds, unless the lessor has paused it. It reports false if the lessor's latest lease is another
-// one or has ended.
+// Renew extends a lease that holds, unless the lessor has paused it. It reports false if the
+// lessor's latest lease is another one or has ended.
 func (l *Ledger) Renew(lessor uint64, number int64, until clock.Millis) bool {
 	entry, ok := l.lessors[lessor]
 	if !ok || !entry.holds || entry.number != number {
--- a/quota/lessor.go
+++ b/quota/lessor.go
@@ -32,7 +32,8 @@
 
 const (
 	unknownTime = clock.Millis(math.MaxInt64)
-	// clockMargin is the fraction of a term that covers clocks of different speeds.
+	// clockMargin is the part of a term that is added to it to cover clocks of different
+	// speeds, as a divisor: 50 means 2 %.
 	clockMargin = 50
 )
 
@@ -84,7 +85,7 @@
 		if !slices.Equal(owners, l.lease.Former) {
 			return false
 		}
-		// Nobody else has got the share meanwhile.
+		// No other owner has received the share in the meantime.
 		former = nil
 	}
 	l.number++
--- a/tokens/exchange.go
+++ b/tokens/exchange.go
@@ -36,8 +36,8 @@
 	redirectInterval = 100 * clock.Millis(1)
 	// exchangeTimeout limits one exchange with a bucket owner.
 	exchangeTimeout = 400 * time.Millisecond
-	// firstAnswerTime is how long the first answer of a process may take, with a handshake and
-	// 20 ms one way between regions, before it is asked again.
+	// firstAnswerTime is how long the first answer of a process may take before it is asked
+	// again. It covers the handshake of a connection between regions.
 	firstAnswerTime = 100 * clock.Millis(1)
 	// takeBackTries is how often a stopping instance asks its owners to confirm that they do
 	// not use its share any more.
@@ -342,9 +342,9 @@
 	return l.updateLease(now)
 }
 
-// redirect follows a former owner's word of who owns the bucket, unless it is this instance
-// or another redirection was just followed. Requests that wait go on waiting. It reports
-// whether the owner it names is to be asked.
+// redirect directs requests for tokens to the owner that a former owner has named, unless it
+// is this instance or another redirection was followed less than redirectInterval ago. Requests
+// that wait continue to wait. It reports whether the named owner is to be asked.
 func (t *workspaceTokens) redirect(now clock.Millis, owner, self string) bool {
 	if owner == "" || owner == self || now < t.redirectUntil-redirectTime+redirectInterval {
 		return false
@@ -371,8 +371,8 @@
 	t.waiters, t.pendingWaiters = append(t.pendingWaiters, t.waiters...), nil
 }
 
-// wakeFirst wakes some of the requests that wait for the exchange that has ended, the first ones
-// first.
+// wakeFirst wakes up to a number of the requests that wait for the exchange that has ended, in
+// the order of their arrival.
 func (t *workspaceTokens) wakeFirst(count int) {
 	for ; count > 0 && len(t.pendingWaiters) > 0; count-- {
 		close(t.pendingWaiters[0])
--- a/tokens/leases.go
+++ b/tokens/leases.go
@@ -207,8 +207,9 @@
 	return true
 }
 
-// publish states this instance's present lease to the others and to its own buckets. Silent
-// owners alone are no news for the log. The caller must hold the lock.
+// publish states this instance's present lease to the others and to its own buckets. A
+// lease of which only the paused owners have changed is logged at debug level. The caller must
+// hold the lock.
 func (l *Limiter) publish(now clock.Millis, ownersChanged bool) {
 	number, lease := l.lessor.Statement()
 	l.config.Fleet.SetLease(number, leaseToWire(&lease))
--- a/tokens/limiter.go
+++ b/tokens/limiter.go
@@ -156,12 +156,13 @@
 const (
 	// maxTokenWait is how long a request may wait for a token.
 	maxTokenWait = 160 * clock.Millis(1)
-	// startTokenWait is the same for the requests that arrive within startTime of the
-	// process's start. When all instances start together, the proof that lets the owners
-	// grant tokens takes two or three calls to the store, and buckets begin empty.
+	// startTokenWait is the same within startTime after the start of the process or of the
+	// whole fleet. When all instances start together, the proof that lets the owners grant
+	// tokens takes two or three calls to the store, and buckets begin empty.
 	startTokenWait = 300 * clock.Millis(1)
-	// startTime is how long after the start of a whole fleet requests wait for tokens that are
-	// about to be earned: all requests that have waited for the start ask at once.
+	// startTime is how long after the start of the process, or of the whole fleet, requests
+	// wait for tokens that are about to be earned: the requests that have waited for the
+	// start ask all at once.
 	startTime = 1500 * clock.Millis(1)
 	// maxTokenWaiters limits the requests of one workspace that wait for tokens.
 	maxTokenWaiters = 64
@@ -280,8 +281,9 @@
 	tokens.Refund()
 }
 
-// takeOrWait takes a token and reports whether it got one. If waiting for the bucket's
-// owner can help, it also returns a channel that is closed after the next exchange.
+// takeOrWait takes a token and reports whether it got one. If waiting can help, it also returns
+// a channel that is closed when the request is to try again: after an exchange with the
+// bucket's owner, or after a pause if that is this instance.
 func (l *Limiter) takeOrWait(workspace string) (bool, <-chan struct{}) {
 	now := l.config.Clock.Now()
 	l.mu.Lock()
--- a/tokens/owner.go
+++ b/tokens/owner.go
@@ -61,7 +61,8 @@
 	return part
 }
 
-// finite returns a number of tokens in a peer's message, or zero if it is none.
+// finite returns a number of tokens from a peer's message, or zero if it is negative, infinite or
+// not a number.
 func finite(tokens float64) float64 {
 	if math.IsNaN(tokens) || math.IsInf(tokens, 0) {
 		return 0
