request path: put comments in plain terms and correct stale ones

Comments of the admission, directory, placement, gateway, memory, endpoint and steering packages use the usual terms of the field, such as untrusted clients. Constants whose reasons were figures of one measurement give the reason itself, and constants of the booking of returns get comments. The order of reclaimed connections is described as the code has it. No change of behaviour.

--- a/admission/level.go
+++ b/admission/level.go
@@ -56,8 +56,8 @@
 	MinShare = 0.5
 	// MaxShare is the largest share of a level.
 	MaxShare = 2.0
-	// initialShare is the share of a new level. Workspaces vary by as much from one second
-	// to the next without sending more.
+	// initialShare is the share of a new level. It allows for the variation of a workspace's
+	// rate from one second to the next.
 	initialShare = 1.25
 	// shareCut and shareStep are the factor and the step by which the share falls while there
 	// is no room, and rises while there is; shareInterval is the least time between.
@@ -82,9 +82,9 @@
 	// may fill of a server's queue before it. A request that finds its object warm takes
 	// about half of its objective.
 	queueDivisor = 4
-	// hopTime is added to a level's age each time it is received. The time that a message
-	// takes is not known if it is a request; this way a level ends even among instances that
-	// go on telling it to each other.
+	// hopTime is added to a level's age each time it is received. The time that a request
+	// was under way is not known to its receiver. Without this addition, instances that keep
+	// reporting a level to each other would never let it expire.
 	hopTime = 50 * clock.Millis(1)
 )
 
--- a/admission/returns.go
+++ b/admission/returns.go
@@ -34,21 +34,26 @@
 )
 
 const (
-	returnSlots   = 128
-	returnTime    = 50 * clock.Millis(1)
+	// returnSlots is the number of slots of returnTime each that are kept, which bounds how
+	// far ahead returns are booked.
+	returnSlots = 128
+	returnTime  = 50 * clock.Millis(1)
+	// returnClasses is the number of priorities that are told apart; less urgent ones count
+	// as the last.
 	returnClasses = 8
 	// returnPart is the part of the service's rate that callers are expected to find when
 	// they return; the rest is taken by requests that come for the first time.
 	returnPart = 0.3
 	// minReturnsPerS is the rate assumed where too few requests have ended to tell.
 	minReturnsPerS = 1.0
-	drainTime      = 2 * clock.Second
+	// drainTime is the time constant of the drain meter.
+	drainTime = 2 * clock.Second
 )
 
 // book returns when a caller refused now is to come back, between two times from now, and
 // books it. It takes the first time by which the callers ahead are expected to be served. If
 // there is none, it takes the one with the fewest bookings of the later half, of these the
-// last: to be sent back again costs a caller more than to come late.
+// last: a second refusal costs a caller more than a late return.
 func (r *returns) book(now clock.Millis, priority int, earliest, latest clock.Millis, random float64) Return {
 	r.advance(now)
 	class := min(max(priority, 0), returnClasses-1)
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -1,7 +1,7 @@
 // Package directory decides which instances a caller is sent to. It addresses fleets of
-// uneven instances, where a uniform choice overloads the small ones: a failure domain may
-// have two instances with 0.8 of a core and seventeen with 0.112. It also addresses
-// look-ups that come while most instances are down, starting, or near a limit of their own.
+// uneven instances, where a uniform choice overloads the small ones: the capacities within a
+// failure domain may differ by a factor of seven and more. It also addresses look-ups that
+// come while most instances are down, starting, or near a limit of their own.
 // Callers pick uniformly among the addresses of their answer and stop using connections to
 // addresses that are missing from a newer one.
 package directory
@@ -90,9 +90,8 @@
 	// MaxAddresses is the largest number of addresses in an answer.
 	MaxAddresses = 64
 	// minAddresses is the smallest number of addresses in an answer if there are as many
-	// instances, so that a caller can turn to another one at once. With 3, the small ones
-	// of a domain get less even shares: the busiest of 19 had 1.39 times its share with
-	// 100 callers, and 1.08 times with 2.
+	// instances, so that a caller can turn to another one at once. With 3, the small
+	// instances of a domain with few callers get less even shares.
 	minAddresses = 2
 	// unreadyMaxAge limits how long callers may keep an answer that names no instance
 	// known to be ready. A full answer usually follows within a second of a start.
--- a/directory/plan.go
+++ b/directory/plan.go
@@ -3,9 +3,10 @@
 // plan divides the callers so that uniform picks from their answers add up to shares of the
 // work in proportion to the weights. Callers of one kind get all instances above some
 // weight: such nested answers together make any shares, since the share of each instance is
-// the sum of the layers up to it. An instance that towers above the others would make
-// answers with fewer than size addresses; what it has above the level base is the work of
-// the other kind of callers, who get size addresses drawn by the weights above the base.
+// the sum of the layers up to it. An instance whose weight far exceeds the others'
+// would make answers with fewer than size addresses; what it has above the level base is the
+// work of the other kind of callers, who get size addresses drawn by the weights above the
+// base.
 type plan struct {
 	// size is the number of addresses of a drawn answer, and the smallest of any.
 	size int
--- a/directory/sample.go
+++ b/directory/sample.go
@@ -35,9 +35,10 @@
 	alikeRatio = 0.9
 )
 
-// resources are compared in units of what one core of work uses. The figures are estimates
-// for 5,000 requests a second of 2.5 KB in and out: only a resource that is much scarcer
-// than the processor lowers an instance's weight.
+// resources are compared in units of what one core of work uses: cores, MiB of memory, Mbit/s
+// of the network link and file descriptors. The figures are estimates for 5,000 requests a
+// second of 2.5 KB in and out: only a resource that is much scarcer than the processor lowers
+// an instance's weight.
 var resources = []resource{
 	{amount: func(c Capacity) float64 { return c.Cores }, perCore: 1},
 	{amount: func(c Capacity) float64 { return c.MemoryMB }, perCore: 512},
@@ -62,8 +63,8 @@
 }
 
 // weigh returns the instances with their weights, the largest first: the least of their
-// resources, in cores of work. An unknown resource counts as the median of the others'. All weights are equal if no
-// resource is known or if the instances are nearly alike.
+// resources, in cores of work. An unknown resource counts as the median of the others'. All
+// weights are equal if no resource is known or if the instances are nearly alike.
 func weigh(instances []Instance) []weighted {
 	out := make([]weighted, len(instances))
 	for i, in := range instances {
--- a/directory/shared.go
+++ b/directory/shared.go
@@ -16,7 +16,7 @@
 	// countWindow is the time over which look-ups of an address are counted.
 	countWindow = 10 * clock.Second
 	// maxSingleLookups is the number of look-ups in that time above which an address
-	// is shared. A single caller asks once per 2 s, and up to three instances.
+	// is shared. A single caller asks up to three instances, each once in 2 s.
 	maxSingleLookups = 20
 	// sharedTime is how long an address then counts as shared, so that its callers
 	// rarely lose addresses when their answers shrink again.
@@ -40,7 +40,7 @@
 	return s.sharedUntil[address] > now
 }
 
-// startWindow starts to count anew.
+// startWindow starts a new window of counts and drops addresses that are no longer shared.
 func (s *SharedAddresses) startWindow(now clock.Millis) {
 	s.windowFrom = now
 	s.counts = make(map[string]int, len(s.counts))
--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -1,7 +1,7 @@
 // Package endpoint bounds what the clients of a fasthttp server may hold of a process: the
 // number of their connections, and the memory of the bodies that they send. It addresses
-// clients that nobody controls, which open many connections, send many large bodies at once
-// and stop short of their end.
+// untrusted clients, which open many connections, send many large bodies at once and stall
+// before the end of a body.
 package endpoint
 
 import (
@@ -50,7 +50,8 @@
 	connectionBytes = memory.ConnectionBytes + 20<<10
 	// stallTime is how long nothing may arrive of a body before its memory is reclaimed if
 	// it is needed.
-	stallTime      = 2 * time.Second
+	stallTime = 2 * time.Second
+	// firstBodyBytes is the first size of the buffer for a body of unknown length.
 	firstBodyBytes = 4 << 10
 )
 
--- a/gateway/reclaim.go
+++ b/gateway/reclaim.go
@@ -39,7 +39,7 @@
 	// stallTime is how long a caller may make no progress with a request, or with reading
 	// a response, before its memory is reclaimed if it is needed.
 	stallTime = 2 * time.Second
-	// progressBytes of a body in stallTime count as progress.
+	// progressBytes is how much of a body must arrive in stallTime to count as progress.
 	progressBytes = 16 << 10
 	// unusedTime and idleReclaimTime are how long a connection without any request, and
 	// one that has had some, must be idle before it may be closed to make room.
@@ -145,7 +145,8 @@
 }
 
 // candidates returns the connections that may be closed, in the order of reclaiming: within
-// a kind, those with the most memory first and then those that have waited longest.
+// a kind, those that have waited longest first, but of the stalled ones those with the most
+// memory.
 func (s *Server) candidates(now time.Time) []candidate {
 	s.mu.Lock()
 	var found []candidate
@@ -196,7 +197,7 @@
 	}
 }
 
-// close closes the connection.
+// close closes the connection and counts the reason.
 func (f candidate) close(s *Server) {
 	_ = f.conn.Close()
 	s.remove(f.conn)
--- a/memory/account.go
+++ b/memory/account.go
@@ -1,7 +1,7 @@
 // Package memory decides how much memory a process may hold for others: for callers whose
 // requests and unread responses it keeps, and for backend servers whose responses it reads.
-// It addresses clients that nobody controls, which send many large bodies at once, stop
-// short of the end, or never read: what does not fit is refused before it is read.
+// It addresses untrusted clients, which send many large bodies at once, stall before the end of
+// a body, or do not read responses: what does not fit is refused before it is read.
 package memory
 
 import (
@@ -174,12 +174,12 @@
 	h.add(int64(bytes))
 }
 
-// Shrink gives some of the bytes back.
+// Shrink removes bytes from the hold.
 func (h *Hold) Shrink(bytes int) {
 	h.Add(-bytes)
 }
 
-// Release gives all bytes back. The hold can be used again.
+// Release removes all bytes from the hold, which can be used again.
 func (h *Hold) Release() {
 	if h == nil {
 		return
--- a/origin/load.go
+++ b/origin/load.go
@@ -9,7 +9,7 @@
 	"github.com/bulrushferry/bulrushferry/clock"
 )
 
-// LoadReport is what a server says of its load, in a field of the form
+// LoadReport is the load that a server reports, in a field of the form
 // "running,waiting,slots" or "running,waiting,slots,pace".
 type LoadReport struct {
 	// Requests is the number of running and waiting requests, if HasRequests is set.
--- a/placement/balance.go
+++ b/placement/balance.go
@@ -6,7 +6,7 @@
 	"github.com/bulrushferry/bulrushferry/clock"
 )
 
-// balance is what keeps a server from running more than its part of a region's requests.
+// balance limits a server to its part of a region's requests.
 // Objects are bound to servers by hash, so some servers have twice as many as others, or
 // the busier ones. A server whose reported load stays above the mean of its region keeps a
 // share of the objects that rank it first; the others go to the server that ranks second
@@ -40,8 +40,8 @@
 	minShare = 0.3
 	// loggedShare is the share from which the loss of objects is worth a log line.
 	loggedShare = 0.8
-	// busyUsage is the usage below which requests hardly wait at a server, and moving
-	// objects would only cost warmth.
+	// busyUsage is the usage below which requests hardly wait at a server: moving objects
+	// would only add requests that find their object cold.
 	busyUsage = 0.9
 	// maxShareStep bounds the time for which one report moves the share.
 	maxShareStep = 2 * clock.Second
@@ -118,7 +118,7 @@
 	}
 }
 
-// round returns a value with two digits after the point, for the log.
+// round returns a number with two decimal places, for the log.
 func round(value float64) float64 {
 	return math.Round(value*100) / 100
 }
@@ -147,9 +147,9 @@
 		if !r.best[i].state.keeps(object, now) {
 			continue
 		}
-		keeper := r.best[i]
+		first := r.best[i]
 		copy(r.best[1:i+1], r.best[:i])
-		r.best[0] = keeper
+		r.best[0] = first
 		return i > 0
 	}
 	return false
--- a/placement/latency_ratio.go
+++ b/placement/latency_ratio.go
@@ -13,8 +13,8 @@
 }
 
 const (
-	// farRatio is above the slowness of a shared machine, 2.5, and below the ratio of a
-	// cold run to a warm one, about 3.3.
+	// farRatio is above the usual slowdown of a shared machine, and below the usual ratio of
+	// the latency of a cold object to that of a warm one.
 	farRatio  = 3.0
 	farCap    = 1.5
 	farWeight = 0.35
--- a/placement/pace.go
+++ b/placement/pace.go
@@ -14,8 +14,8 @@
 
 const (
 	// paceHold is the age up to which a reported pace is taken as it is. From then on it
-	// fades with paceTimeConstant, as slow spells of a mean of 600 ms in 15 % of the time
-	// lose their correlation with that of 510 ms.
+	// fades with paceTimeConstant, since the slowdowns of shared machines last for some
+	// hundred milliseconds only.
 	paceHold         = 100 * clock.Millis(1)
 	paceTimeConstant = 500 * clock.Millis(1)
 	// minPace and maxPace bound the effect of a report.
@@ -60,8 +60,8 @@
 }
 
 // paceDuring returns the pace that explains the latency of a request which ends now: the
-// mean of what was expected when it was sent and of what the response reports. A spell
-// may have begun or ended in between.
+// mean of what was expected when it was sent and of what the response reports. The pace
+// may have changed in between.
 func (c *Choice) paceDuring(result Result) float64 {
 	if !result.HasPace {
 		return c.pace
--- a/steering/choose.go
+++ b/steering/choose.go
@@ -97,7 +97,7 @@
 	}
 }
 
-// round rounds a figure for the log.
+// round returns a number with two decimal places, for the log.
 func round(x float64) float64 {
 	return math.Round(x*100) / 100
 }
--- a/steering/reload.go
+++ b/steering/reload.go
@@ -76,8 +76,8 @@
 }
 
 // mergeReloadable returns the old settings with the bounds, seeds and limits of memory and
-// descriptors of the new ones. All others, such as the instance's name, region and addresses, take effect at
-// the next start only.
+// descriptors of the new ones. All others, such as the instance's name, region and addresses,
+// take effect at the next start only.
 func mergeReloadable(old, settings Settings, log hclog.Logger) Settings {
 	merged := old
 	merged.Bounds = settings.Bounds
--- a/steering/wait.go
+++ b/steering/wait.go
@@ -31,15 +31,16 @@
 
 const (
 	// waitDivisor is the part of a request's objective, as a divisor, after which it is
-	// refused if it has not been assigned to a server by then. Callers are to hear of it in
-	// the first eighth; the rest is for the ways to and from them and for a busy processor.
+	// refused if it has not been assigned to a server by then. A refusal is to reach
+	// the caller within an eighth of the objective; the rest of that time is for the network
+	// and for a busy processor.
 	waitDivisor = 10
-	// maxWaiting is how many requests to one service may wait. At the rates of one instance
-	// they are more than can end in their waiting time.
+	// maxWaiting is how many requests to one service may wait: more than an instance can
+	// assign to servers within their waiting time.
 	maxWaiting = 512
 	// offersPerEnd is how many waiting requests are offered the room that the end of a
-	// request at a server leaves. Most are bound to the servers of their objects. With few
-	// instances, of which each sees many requests, three took 17 % more refusals than eight.
+	// request at a server leaves. Most are bound to the servers of their objects, so fewer
+	// offers would leave room unused where many requests wait at an instance.
 	offersPerEnd = 8
 	// offersPerList is the same for each service when the list of servers changes.
 	offersPerList = 32
