comments, errors: name conditions directly and drop past-tense comments

Errors about unusable leases and about outstanding bytes at a server state the condition, the limit and the value instead of a phrase. Comments of tests say which failure they guard against in the present tense, and the comment of the store faults of the soak matches how failedSeeds use them. Tests' checks, bounds and names, and all behaviour, are unchanged.

--- a/backend/status_test.go
+++ b/backend/status_test.go
@@ -11,8 +11,8 @@
 	"github.com/valyala/fasthttp"
 )
 
-// TestStatus guards against responses without a valid status that a caller gets as done:
-// 000 was passed on as 200, and 600 to 999 unchanged.
+// TestStatus guards against responses without a valid status that reach a caller:
+// fasthttp reads 000 as 200, and 600 to 999 unchanged.
 func TestStatus(t *testing.T) {
 	cases := map[string]int{
 		"000": 0, "600": 0, "700": 0, "999": 0, "0": 0, "099": 0, "199": 0, "2000": 0, "+200": 0, "1e2": 0, "": 0,
--- a/emulator/admission.go
+++ b/emulator/admission.go
@@ -25,7 +25,7 @@
 )
 
 const (
-	// waitDivisor, maxWaiting and offersPerEnd are those of the product.
+	// waitDivisor, maxWaiting and offersPerEnd have the values of package steering.
 	waitDivisor  = 10
 	maxWaiting   = 512
 	offersPerEnd = 8
--- a/fleet/heartbeats.go
+++ b/fleet/heartbeats.go
@@ -87,7 +87,7 @@
 	return hashes
 }
 
-// heartbeat is what is said of one instance.
+// heartbeat is what a gossip answer reports of one instance.
 type heartbeat struct {
 	state uint64
 	age   clock.Millis
--- a/gateway/buffer.go
+++ b/gateway/buffer.go
@@ -26,7 +26,8 @@
 	c.hold.Add(readBufferBytes)
 }
 
-// releaseReader takes the connection's buffer back, with the bytes in it.
+// releaseReader takes the connection's buffer away and drops unread bytes. A buffer of the usual
+// size returns to the pool.
 func (c *conn) releaseReader() {
 	if c.reader == nil {
 		return
--- a/origin/pool.go
+++ b/origin/pool.go
@@ -108,7 +108,7 @@
 	deadline := time.Now().Add(request.TimeLeft.Duration())
 	size := request.Body.Len()
 	if !p.addOutstanding(server, size) {
-		return nil, ResponseInfo{}, ErrConnectionLimit.New("server %s has enough to read", server.ID)
+		return nil, ResponseInfo{}, ErrConnectionLimit.New("server %s has too many outstanding request bytes", server.ID)
 	}
 	defer p.removeOutstanding(server, size)
 	c, err := p.connect(server, idempotent, request.TimeLeft)
--- a/origin/status_test.go
+++ b/origin/status_test.go
@@ -9,8 +9,8 @@
 	"github.com/valyala/fasthttp"
 )
 
-// TestStatus guards against responses without a valid status that reach a caller: 000
-// did as 200, and 600 to 999 unchanged. Only three digits from 100 to 599 are a status.
+// TestStatus guards against responses without a valid status that reach a caller:
+// fasthttp reads 000 as 200, and 600 to 999 unchanged. Only three digits from 100 to 599 are a status.
 func TestStatus(t *testing.T) {
 	const fields = "Request-Id: 1\r\nSignature: x\r\nContent-Length: 4\r\n\r\nbody"
 	cases := map[string]struct {
--- a/quota/lease.go
+++ b/quota/lease.go
@@ -79,11 +79,11 @@
 	}
 	for i, owner := range o {
 		if owner.Process == 0 {
-			return ErrLease.New("an owner without a process")
+			return ErrLease.New("an owner has no process")
 		}
 		for _, other := range o[:i] {
 			if other.Process == owner.Process || other.Key == owner.Key {
-				return ErrLease.New("the same owner twice")
+				return ErrLease.New("an owner is listed twice")
 			}
 		}
 	}
@@ -93,10 +93,10 @@
 // Check returns an error if no process can have stated the lease.
 func (l *Lease) Check() error {
 	if l.Term <= 0 || l.Term > maxTerm {
-		return ErrLease.New("a term of %d ms", l.Term)
+		return ErrLease.New("the term of %d ms is not between 1 and %d ms", l.Term, maxTerm)
 	}
 	if len(l.Paused) > len(l.Owners) {
-		return ErrLease.New("%d of %d owners are paused", len(l.Paused), len(l.Owners))
+		return ErrLease.New("%d owners are paused, more than the %d owners", len(l.Paused), len(l.Owners))
 	}
 	if err := l.Owners.check(); err != nil {
 		return err
--- a/scenario/heavy_load_test.go
+++ b/scenario/heavy_load_test.go
@@ -25,7 +25,7 @@
 	ordinaryTries  = 40
 )
 
-// TestHeavyLoad guards against clients that nobody controls, at the ports for callers and
+// TestHeavyLoad guards against untrusted clients, at the ports for callers and
 // operators. A crowd of them sends bodies of nearly the largest legal size, in one piece, in
 // large or in small chunks, stops just short of their end and stays connected. The process
 // must live and stay within its memory and descriptors, and an ordinary request must be
--- a/soak/heavy_load_test.go
+++ b/soak/heavy_load_test.go
@@ -19,7 +19,7 @@
 )
 
 type (
-	// crowd is a number of clients that nobody controls, and what each of them sends.
+	// crowd is a number of untrusted clients, and what each of them sends.
 	crowd struct {
 		clients int
 		// send sends what the client with a number sends. The connection stays open after
@@ -267,7 +267,7 @@
 	return false
 }
 
-// TestHeavyLoad guards against clients that nobody controls: a crowd of them must not end
+// TestHeavyLoad guards against untrusted clients: a crowd of them must not end
 // the process, take it over the memory or the descriptors that its settings state, or keep
 // an ordinary request from being answered while the crowd stays connected.
 func TestHeavyLoad(t *testing.T) {
--- a/soak/restore_test.go
+++ b/soak/restore_test.go
@@ -104,7 +104,8 @@
 	}
 }
 
-// restoreFaults are faults of the store that came after the seeds that failed before.
+// restoreFaults are faults of the store that the failedSeeds do not draw, so that these repeat
+// the runs that failed.
 var restoreFaults = map[string]fault{
 	"store comes back older": func(f *fleet, random *rand.Rand, span time.Duration) {
 		f.store.setUnavailable(true)
--- a/tokens/restart_test.go
+++ b/tokens/restart_test.go
@@ -95,8 +95,8 @@
 	})
 }
 
-// lookPause returns how long an instance waits before it reads the list again: those that are
-// to own token buckets are in a hurry.
+// lookPause returns how long an instance waits before it reads the list again, which is less for
+// those that are to own token buckets.
 func (i *modelInstance) lookPause() clock.Millis {
 	return fleet.LookPause(i.members.Self(), i.fleet.entries(), i.Now()-i.startedAt)
 }
