--- a/directory/choose_test.go
+++ b/directory/choose_test.go
@@ -192,6 +192,8 @@
 		"one near a limit":                 {View{Ready: []Instance{self, nearMate, other}}, []string{"self"}, Full},
 		"all near a limit":                 {View{Ready: []Instance{nearSelf, nearMate, other}}, []string{"mate", "self"}, NearLimits},
 		"hears nobody":                     {View{Ready: []Instance{self}, Isolated: true, LastHeard: []Instance{mate, other}, Self: "self"}, []string{"mate", "self"}, Isolated},
+		"hears nobody, all near a limit":   {View{Ready: []Instance{nearSelf}, Isolated: true, LastHeard: []Instance{nearMate}, Self: "self"}, []string{"mate", "self"}, NearLimits},
+		"alone in its domain, near limits": {View{Ready: []Instance{far}, Isolated: true, LastHeard: []Instance{nearMate}, Self: "far"}, []string{"mate", "far"}, NearLimits},
 		"hears nobody, in another domain":  {View{Ready: []Instance{far}, Isolated: true, LastHeard: []Instance{mate}, Self: "far"}, []string{"mate", "far"}, Isolated},
 		"hears nobody from the start":      {View{Ready: []Instance{self}, Isolated: true, Self: "self", Unready: []Instance{mate}}, []string{"self"}, Full},
 		"not ready, hears nobody":          {View{Isolated: true, LastHeard: []Instance{mate}, Self: "self", Unready: []Instance{self}}, []string{"mate"}, NotReady},
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -109,9 +109,10 @@
 		return chooseUnready(caller, view.Unready)
 	}
 	local, cause := nearest(caller, candidates)
+	isolated := len(view.Ready) > 0 && view.Isolated && len(view.LastHeard) > 0
 	if len(view.Ready) == 0 {
 		cause = NotReady
-	} else if view.Isolated && len(view.LastHeard) > 0 {
+	} else if isolated {
 		cause = Isolated
 	}
 	free := filter(local, func(in Instance) bool { return !in.NearLimit })
@@ -119,7 +120,7 @@
 		free, cause = local, NearLimits
 	}
 	chosen := sample(caller, free)
-	if cause == Isolated {
+	if isolated {
 		chosen = withSelf(chosen, view)
 	}
 	return Answer{Addresses: addresses(chosen), Cause: cause}
--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/bulrushferry/bulrushferry/memory"
+	"github.com/bulrushferry/bulrushferry/socket"
 	"github.com/valyala/fasthttp"
 )
 
@@ -322,8 +323,7 @@
 		_, err := c.Write(head)
 		return err
 	}
-	buffers := net.Buffers{head, body}
-	_, err := buffers.WriteTo(c.Conn)
+	_, err := socket.WriteBuffers(c.Conn, net.Buffers{head, body})
 	return err
 }
 
--- a/socket/meter.go
+++ b/socket/meter.go
@@ -70,6 +70,14 @@
 	return n, err
 }
 
+// WriteBuffers writes several buffers at once. net.Buffers would write them to the embedded
+// connection, where they are not counted.
+func (c *meteredConn) WriteBuffers(buffers net.Buffers) (int64, error) {
+	n, err := buffers.WriteTo(c.TCPConn)
+	c.meter.bytes.Add(n)
+	return n, err
+}
+
 // Close implements net.Conn.
 func (c *meteredConn) Close() error {
 	c.closed.Do(func() { c.meter.open.Add(-1) })
--- a/socket/meter_test.go
+++ b/socket/meter_test.go
@@ -35,11 +35,14 @@
 	if _, err := c.Write([]byte("answer")); err != nil {
 		t.Fatal(err)
 	}
+	if _, err := WriteBuffers(c, net.Buffers{[]byte("head"), []byte("body")}); err != nil {
+		t.Fatal(err)
+	}
 	if err := c.(interface{ CloseWrite() error }).CloseWrite(); err != nil {
 		t.Fatal(err)
 	}
-	if meter.Open() != 1 || meter.Bytes() != 10 {
-		t.Errorf("got %d open connections and %d bytes, want 1 and 10", meter.Open(), meter.Bytes())
+	if meter.Open() != 1 || meter.Bytes() != 18 {
+		t.Errorf("got %d open connections and %d bytes, want 1 and 18", meter.Open(), meter.Bytes())
 	}
 	_ = c.Close()
 	_ = c.Close()
--- a/steering/choose.go
+++ b/steering/choose.go
@@ -38,6 +38,7 @@
 	}
 	if short && query.MayWait {
 		choice, refusal = h.wait(req, tried)
+		req.waitsSince = 0
 	}
 	if choice != nil {
 		h.config.Admission.RecordSent(now, who, req.standing)
--- a/steering/restored_store.go
+++ b/steering/restored_store.go
@@ -45,9 +45,10 @@
 			continue
 		}
 		clock.Sleep(ctx, rand.N(reregisterSpread))
-		registered := p.register(ctx, &joining{})
+		if !p.register(ctx, &joining{}) {
+			continue
+		}
 		metrics.GetOrRegisterCounter("store.restores", p.Metrics).Inc(1)
-		p.Log.Warn("the platform's store came back from a copy", "era", era, "registered_again", registered,
-			"rules_kept", p.ControlState.Rules.Carried(), "servers_kept", p.ControlState.Servers.Carried())
+		p.Log.Warn("the platform's store came back from a copy", "era", era, "rules_kept", p.ControlState.Rules.Carried(), "servers_kept", p.ControlState.Servers.Carried())
 	}
 }
--- a/tokens/limiter.go
+++ b/tokens/limiter.go
@@ -135,6 +135,9 @@
 		waiters []chan struct{}
 		// pendingWaiters are the waiters that the exchange in progress is for.
 		pendingWaiters []chan struct{}
+		// waking is set while a call is about to wake those that wait for this instance's own
+		// bucket. Without it each of them would wake all.
+		waking bool
 		// bucket is filled by the shares of the limit that are leased to this instance.
 		bucket *quota.Bucket
 		// usedAt is when a request or a peer last asked for a token.
@@ -238,12 +241,19 @@
 func (l *Limiter) fetch(workspace string) {
 	now := l.config.Clock.Now()
 	l.mu.Lock()
-	address := l.ownerAddress(now, l.tokensOf(now, workspace))
+	tokens := l.tokensOf(now, workspace)
+	address := l.ownerAddress(now, tokens)
+	own := address == l.config.SelfAddress
+	isWaking := own && tokens.waking
+	tokens.waking = tokens.waking || own
 	l.mu.Unlock()
-	if address != l.config.SelfAddress {
+	if !own {
 		l.exchange(address, []string{workspace})
 		return
 	}
+	if isWaking {
+		return
+	}
 	time.Sleep(noPartPause.Duration())
 	l.wakeWaiters(workspace)
 }
@@ -254,6 +264,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	tokens := l.tokensOf(now, workspace)
+	tokens.waking = false
 	tokens.pendingWaiters, tokens.waiters = append(tokens.pendingWaiters, tokens.waiters...), nil
 	tokens.wakePending()
 }
