--- a/tokens/limiter.go
+++ b/tokens/limiter.go
@@ -236,39 +236,6 @@
 	}
 }
 
-// fetch exchanges messages with the owner of a workspace's bucket at once. If that is this
-// instance, requests wait for its own bucket.
-func (l *Limiter) fetch(workspace string) {
-	now := l.config.Clock.Now()
-	l.mu.Lock()
-	tokens := l.tokensOf(now, workspace)
-	address := l.ownerAddress(now, tokens)
-	own := address == l.config.SelfAddress
-	isWaking := own && tokens.waking
-	tokens.waking = tokens.waking || own
-	l.mu.Unlock()
-	if !own {
-		l.exchange(address, []string{workspace})
-		return
-	}
-	if isWaking {
-		return
-	}
-	time.Sleep(noPartPause.Duration())
-	l.wakeWaiters(workspace)
-}
-
-// wakeWaiters wakes the requests that wait for this instance's own bucket.
-func (l *Limiter) wakeWaiters(workspace string) {
-	now := l.config.Clock.Now()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	tokens := l.tokensOf(now, workspace)
-	tokens.waking = false
-	tokens.pendingWaiters, tokens.waiters = append(tokens.pendingWaiters, tokens.waiters...), nil
-	tokens.wakePending()
-}
-
 // take takes a token that was fetched or, if there is none, one of this instance's own
 // bucket, and reports whether it got one.
 func (l *Limiter) take(workspace string) bool {
