--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Builds the stand-ins of the second review's scripts. The build of the deploy file comes first.
+set -euo pipefail
+cd "$(dirname "$0")/standin-2"
+go build -o ../../target/review-2 .
--- /dev/null
+++ b/review/standin-2/cases.go
@@ -0,0 +1,94 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// drain is the bound of that name in the settings.
+const drain = 2500 * time.Millisecond
+
+// missingField has another writer write an entry without seq under the id of a target of another
+// service. Such an entry names no target to use.
+func missingField(w *world, l *load, trouble bool) (outcome, error) {
+	w.store.put("op", "", "config", config(7, route("desk", "/desk/", "desk"), route("hall", "/hall/", "hall"), service("desk"), service("hall")))
+	halls := make(map[string]*target)
+	for i := range 6 {
+		name, zone := []string{"desk", "hall"}[i%2], zoneNames[i/2]
+		t, err := startTarget(w, fmt.Sprintf("i-%s-%d", name, i/2), name, zone)
+		if err != nil {
+			return outcome{}, err
+		}
+		if name == "hall" {
+			halls[t.id] = t
+		}
+	}
+	if err := w.startAll(); err != nil {
+		return outcome{}, err
+	}
+	l.paths = []string{"/desk/", "/hall/"}
+	victim := halls["i-hall-0"]
+	l.during(func() {
+		for range 20 {
+			if trouble {
+				w.store.put("servers", "", victim.id, map[string]any{
+					"address": victim.address, "born": victim.born,
+					"info":   map[string]any{"service": "desk", "version": "v1", "zone": victim.zone, "slots": slots},
+					"status": map[string]any{"state": "ready", "coldRemaining": "0ms"},
+				})
+			}
+			time.Sleep(500 * time.Millisecond)
+		}
+	})
+	result := outcome{lines: []string{"another writer writes servers/" + victim.id + " (a target of hall) each 0.5 s for 10 s, with the service desk and without seq"}}
+	for _, r := range w.runs.all() {
+		if strings.HasPrefix(r.uri, "/desk/") && r.service != "desk" {
+			result.broken = append(result.broken, fmt.Sprintf("ROUTE: request %s on %s was run by %s of service %s", r.id, r.uri, r.target, r.service))
+		}
+	}
+	return result, nil
+}
+
+// otherPart has another writer keep the entry of a target that has left in another part of the
+// table. That row is not servers/ID.
+func otherPart(w *world, l *load, trouble bool) (outcome, error) {
+	w.store.put("op", "", "config", config(7, route("desk", "/desk/", "desk"), service("desk")))
+	var targets []*target
+	for i := range 6 {
+		t, err := startTarget(w, fmt.Sprintf("i-desk-%d", i), "desk", zoneNames[i%3])
+		if err != nil {
+			return outcome{}, err
+		}
+		targets = append(targets, t)
+	}
+	if err := w.startAll(); err != nil {
+		return outcome{}, err
+	}
+	l.paths = []string{"/desk/"}
+	leaving := targets[0]
+	last := leaving.entry()
+	var confirmedAt time.Time
+	l.during(func() {
+		leaving.draining.Store(true)
+		leaving.beat()
+		confirmedAt = time.Now()
+		time.Sleep(drain)
+		leaving.leave()
+		time.Sleep(2 * time.Second)
+		if trouble {
+			w.store.put("servers", "archive", leaving.id, last)
+		}
+		time.Sleep(4 * time.Second)
+	})
+	result := outcome{lines: []string{
+		leaving.id + " reports draining, removes its entry 2.5 s later and goes on serving",
+		"2 s after that another writer writes its last ready entry in the table servers, part archive",
+	}}
+	for _, r := range w.runs.all() {
+		if r.target == leaving.id && r.at.Sub(confirmedAt) > drain {
+			result.broken = append(result.broken, fmt.Sprintf("DRAIN: request %s reached %s %.3f s after its leaving was confirmed", r.id, r.target, r.at.Sub(confirmedAt).Seconds()))
+		}
+	}
+	return result, nil
+}
