--- a/review/standin-2/slow_reader.go
+++ b/review/standin-2/slow_reader.go
@@ -37,7 +37,7 @@
 // planned work around which no answer may be cut.
 func slowReader(w *world, l *load, trouble bool) (outcome, error) {
 	w.timeout = slowDeadline
-	w.store.put("op", "", "config", config(7, w.route("desk", "/desk/", "desk"), service("desk")))
+	w.store.put("op", "", "config", w.config(7, w.route("desk", "/desk/", "desk"), service("desk")))
 	for i := range 6 {
 		if _, err := startTarget(w, fmt.Sprintf("i-desk-%d", i), "desk", zoneNames[i%3]); err != nil {
 			return outcome{}, err
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -38,8 +39,15 @@
 	rows    map[string]row
 	changes []row
 	changed chan struct{}
+	// lateRemovals has removals of rows get no answer and be made lateness later.
+	lateRemovals atomic.Bool
+	// writes and lateWrites count the transactions, and those without an answer.
+	writes, lateWrites atomic.Int64
 }
 
+// lateness is how long after it came a write without an answer is made.
+const lateness = 4 * time.Second
+
 func newStore() *store {
 	return &store{startedAt: time.Now(), version: 1, rows: make(map[string]row), changed: make(chan struct{})}
 }
@@ -159,6 +167,13 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	s.writes.Add(1)
+	if len(tx.Remove) > 0 && s.lateRemovals.Load() {
+		s.lateWrites.Add(1)
+		time.AfterFunc(lateness, func() { s.remove(tx.Remove) })
+		<-r.Context().Done()
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, expected := range tx.Expected {
@@ -183,3 +198,13 @@
 	}
 	_ = json.NewEncoder(w).Encode(rowsAnswer{Version: s.version, Rows: []row{}, Now: s.now()})
 }
+
+// remove removes rows on which no condition was put.
+func (s *store) remove(rows []row) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, removal := range rows {
+		removal.Tombstone = true
+		s.apply(removal)
+	}
+}
--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -24,6 +24,8 @@
 	seeds  []string
 	// grace is the time from SIGTERM to SIGKILL, timeout that of the routes.
 	grace, timeout time.Duration
+	// ratePerS and burst are the tenant's limit; zero means none.
+	ratePerS, burst int
 }
 
 // node is a process of the project.
@@ -174,6 +176,19 @@
 	return errors.New("the nodes did not become ready")
 }
 
+// restart has a node stop in a planned way, and starts it again a moment after it has ended.
+func (n *node) restart(w *world) error {
+	_ = n.cmd.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-n.exited:
+	case <-time.After(w.grace):
+		_ = n.cmd.Process.Signal(syscall.SIGKILL)
+		<-n.exited
+	}
+	time.Sleep(500 * time.Millisecond)
+	return n.start(w)
+}
+
 // stop ends all nodes that still run.
 func (w *world) stop() {
 	for _, n := range w.nodes {
@@ -201,9 +216,9 @@
 	apiKey = "b9wu3fexd9dnn2ctnfzs"
 )
 
-func config(version int, resources ...map[string]any) map[string]any {
+func (w *world) config(version int, resources ...map[string]any) map[string]any {
 	list := append([]map[string]any{
-		resource("tenants", "kaje80", map[string]any{"apiKeys": []string{apiKey}}),
+		resource("tenants", "kaje80", map[string]any{"apiKeys": []string{apiKey}, "ratePerS": w.ratePerS, "burst": w.burst}),
 		resource("limits", "", map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 16777216, "headerTimeout": "3000ms", "idleTimeout": "15000ms"}),
 	}, resources...)
 	return map[string]any{"version": version, "resources": list}
