--- a/review/standin-2/slow_reader.go
+++ b/review/standin-2/slow_reader.go
@@ -20,11 +20,11 @@
 }
 
 const (
-	// readBytes and readPause have the slow clients read 600 KB a second.
-	readBytes = 60 << 10
+	// readBytes and readPause have the slow clients read 450 KB a second.
+	readBytes = 45 << 10
 	readPause = 100 * time.Millisecond
 	// slowDeadline is their time budget.
-	slowDeadline = 15 * time.Second
+	slowDeadline = 25 * time.Second
 )
 
 // Read implements net.Conn.
@@ -33,7 +33,7 @@
 	return c.Conn.Read(p[:min(len(p), readBytes)])
 }
 
-// slowReader has clients read answers of 8 MB at 600 KB a second, just after a SIGHUP, which is
+// slowReader has clients read answers of 10 MB at 450 KB a second, just after a SIGHUP, which is
 // planned work around which no answer may be cut.
 func slowReader(w *world, l *load, trouble bool) (outcome, error) {
 	w.timeout = slowDeadline
@@ -62,7 +62,7 @@
 		}
 		group.Wait()
 	})
-	result := outcome{lines: []string{"all nodes get SIGHUP; 1 s later 6 clients send, on connections that they have used before, a request whose answer has 8 MB; with trouble they read 600 KB a second; their time budget is 15 s"}}
+	result := outcome{lines: []string{"all nodes get SIGHUP; 1 s later 6 clients send, on connections that they have used before, a request whose answer has 10 MB; with trouble they read 450 KB a second; their time budget is 25 s"}}
 	ran := make(map[string]string)
 	for _, r := range w.runs.all() {
 		ran[r.id] = r.target
--- a/review/standin-2/target.go
+++ b/review/standin-2/target.go
@@ -55,7 +55,7 @@
 	longWork  = 7 * time.Second
 	// bigMark marks the paths of requests whose answers have bigAnswer bytes.
 	bigMark   = "/big-"
-	bigAnswer = 8 << 20
+	bigAnswer = 10 << 20
 	// longMark marks the paths of requests that take longWork.
 	longMark = "/long-"
 )
