--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -18,6 +18,9 @@
 	lines []string
 }
 
+// longest is how long a case may take. The processes that it has started end with it.
+const longest = 115 * time.Second
+
 const (
 	exitHeld = iota
 	exitBroken
@@ -36,6 +39,10 @@
 	binary := flag.String("binary", "target/bulrushferry", "the project's program")
 	record := flag.String("record", "record.txt", "where to write what was sent, answered and run")
 	flag.Parse()
+	time.AfterFunc(longest, func() {
+		fmt.Fprintln(os.Stderr, "the case takes too long")
+		os.Exit(exitCannotRun)
+	})
 	code, err := play(*name, *binary, *record, os.Getenv("TROUBLE") != "0")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "the case could not run:", err)
