Take no answer with an invalid field name

What callers saw: a server's answer in whose head the name of a field held a blank was delivered as 200 with the server's signature, and the line was passed on. "Content-Length :" counted as a length, "Content Length" as an unknown field, so that the body went on until the server closed; "Signature : y" was passed on beside the sound signature.

Cause: http1 looked at the status line only and left the fields to fasthttp, which takes blanks inside a name, drops those before the colon, and does so for trailers too.

Ruled out: control bytes, other bytes that no token holds, and control bytes in values end with an error in fasthttp already (TestInvalidFieldNameIsNotDelivered, rows that passed).

Change: headCheck checks each line of a head or a trailer (RFC 9112, sections 4, 5, 5.2 and 7.1.2; RFC 9110, sections 5.1, 5.5 and 5.6.2) before fasthttp parses it. ResponseReader and the connections of fasthttp's clients use it; GuardClient and GuardHostClient replace GuardStatus. RFC 9112, section 5.1, lets a proxy drop blanks before the colon of a response; we refuse, since another reader on the way may see another field. An answer that is none is a lost answer of its server, as with other faults. Names are checked with a table of our own: httpguts would bring idna and its tables a second time.

--- a/backend/status_test.go
+++ b/backend/status_test.go
@@ -37,6 +37,26 @@
 	}
 }
 
+// TestFieldNames guards against responses with an invalid name of a field that reach a caller.
+func TestFieldNames(t *testing.T) {
+	cases := map[string]bool{
+		"X Extra": false, "X-Extra ": false, "X-Extra\t": false, "X-E\x00xtra": false, "X-Extra\x7f": false, "": false,
+		"Content Length": false, "Transfer-Encoding ": false, RequestIDHeader + " ": false, DeclinedHeader + " ": false, DrainingHeader + " ": false,
+		"X-Extra": true, "x_9!#$%&'*+-.^`|~": true,
+	}
+	for name, valid := range cases {
+		t.Run(name, func(t *testing.T) {
+			address := serve(t, func(c net.Conn, request *fasthttp.Request) {
+				_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: 1\r\nContent-Length: 2\r\n%s: %s\r\n\r\nok", name, RequestIDHeader, request.Header.Peek(RequestIDHeader))
+			})
+			pool := newTestPool(address)
+			if result := call(pool, true, 1000); (result.Outcome == wire.Outcome_OUTCOME_DONE) != valid {
+				t.Errorf("got outcome %v, want done: %v", result.Outcome, valid)
+			}
+		})
+	}
+}
+
 // TestLoadReportNeedsStatusAndSlots guards against a load report that is no success, or
 // states no slots, and makes a server look busy.
 func TestLoadReportNeedsStatusAndSlots(t *testing.T) {
@@ -49,6 +69,7 @@
 		"a failure": {"HTTP/1.1 500 No", `{"slots":4,"in_flight":4}`, false},
 		"no status": {"HTTP/1.1 000 No", `{"slots":4,"in_flight":4}`, false},
 		"no slots":  {"HTTP/1.1 200 OK", `{}`, false},
+		"bad name":  {"HTTP/1.1 200 OK\r\nX Extra: 1", `{"slots":4,"in_flight":4}`, false},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/bench/baseline.go
+++ b/bench/baseline.go
@@ -127,11 +127,11 @@
 	b.deployment.listeners = append(b.deployment.listeners, listener)
 	host, _, _ := net.SplitHostPort(b.settings.GetCallerAddress())
 	dialer := net.Dialer{Timeout: time.Second, LocalAddr: &net.TCPAddr{IP: net.ParseIP(host)}}
-	b.httpClient = &fasthttp.Client{
+	b.httpClient = http1.GuardClient(&fasthttp.Client{
 		MaxIdemponentCallAttempts: 1,
 		MaxConnsPerHost:           1000,
-		Dial:                      http1.GuardStatus(func(address string) (net.Conn, error) { return dialer.Dial("tcp", address) }),
-	}
+		Dial:                      func(address string) (net.Conn, error) { return dialer.Dial("tcp", address) },
+	})
 	for _, w := range b.deployment.rules.GetWorkspaces() {
 		share := 1 / float64(len(b.deployment.instances))
 		b.buckets[b.deployment.keys[w.GetName()]] = &tokenBucket{
--- a/bench/deployment.go
+++ b/bench/deployment.go
@@ -22,7 +22,7 @@
 )
 
 // standinClient calls the standin program.
-var standinClient = &fasthttp.Client{Dial: http1.GuardStatus(fasthttp.Dial)}
+var standinClient = http1.GuardClient(&fasthttp.Client{})
 
 // deployment is a set of processes: the standin program and the entry instances.
 type deployment struct {
--- a/http1/status_test.go
+++ b/http1/guard_test.go
@@ -35,23 +35,31 @@
 	})
 }
 
-// TestGuardStatus guards against an invalid status in a response that fasthttp's clients
+// TestGuardHostClient guards against an invalid head in a response that fasthttp's clients
 // read by themselves, also after an interim response or on a kept connection.
-func TestGuardStatus(t *testing.T) {
+func TestGuardHostClient(t *testing.T) {
 	const ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 	bad := strings.Replace(ok, "200", "000", 1)
 	cases := map[string]struct {
 		answers []string
 		failed  []bool
 	}{
-		"good":                    {[]string{ok, ok}, []bool{false, false}},
-		"000":                     {[]string{bad}, []bool{true}},
-		"600":                     {[]string{strings.Replace(ok, "200", "600", 1)}, []bool{true}},
-		"second on a connection":  {[]string{ok, bad}, []bool{false, true}},
-		"after an interim":        {[]string{"HTTP/1.1 100 Continue\r\n\r\n" + bad}, []bool{true}},
-		"good after an interim":   {[]string{"HTTP/1.1 100 Continue\r\nX: y\r\n\r\n" + ok, ok}, []bool{false, false}},
-		"a long reason":           {[]string{strings.Replace(bad, "OK", strings.Repeat("x", 300), 1)}, []bool{true}},
-		"good with a long reason": {[]string{strings.Replace(ok, "OK", strings.Repeat("x", 300), 1)}, []bool{false}},
+		"good":                     {[]string{ok, ok}, []bool{false, false}},
+		"000":                      {[]string{bad}, []bool{true}},
+		"600":                      {[]string{strings.Replace(ok, "200", "600", 1)}, []bool{true}},
+		"second on a connection":   {[]string{ok, bad}, []bool{false, true}},
+		"after an interim":         {[]string{"HTTP/1.1 100 Continue\r\n\r\n" + bad}, []bool{true}},
+		"good after an interim":    {[]string{"HTTP/1.1 100 Continue\r\nX: y\r\n\r\n" + ok, ok}, []bool{false, false}},
+		"a blank in a name":        {[]string{strings.Replace(ok, "\r\n", "\r\nX Extra: 1\r\n", 1)}, []bool{true}},
+		"a blank after a name":     {[]string{ok, strings.Replace(ok, "Length", "Length ", 1)}, []bool{false, true}},
+		"a blank in the length":    {[]string{strings.Replace(ok, "Content-Length", "Content Length", 1) + "more"}, []bool{true}},
+		"a control byte in a name": {[]string{strings.Replace(ok, "\r\n", "\r\nX-E\x01xtra: 1\r\n", 1)}, []bool{true}},
+		"a name after an interim":  {[]string{"HTTP/1.1 103 Early\r\nX: y\r\n\r\n" + strings.Replace(ok, "\r\n", "\r\nX Extra: 1\r\n", 1)}, []bool{true}},
+		"a name in an interim":     {[]string{"HTTP/1.1 103 Early\r\nX y: z\r\n\r\n" + ok}, []bool{true}},
+		"odd and sound":            {[]string{strings.Replace(ok, "\r\n", "\r\nX-Empty:\r\nx-obs: \xe9\r\nX-Folded: a\r\n b\r\n", 1), ok}, []bool{false, false}},
+		"a blank in the body":      {[]string{"HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\na b: c\r\nX Y: 1\r\n", ok}, []bool{false, false}},
+		"a long reason":            {[]string{strings.Replace(bad, "OK", strings.Repeat("x", 300), 1)}, []bool{true}},
+		"good with a long reason":  {[]string{strings.Replace(ok, "OK", strings.Repeat("x", 300), 1)}, []bool{false}},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -69,10 +77,10 @@
 					}
 				}
 			}()
-			client := &fasthttp.HostClient{
+			client := GuardHostClient(&fasthttp.HostClient{
 				Addr: "s", RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-				Dial: GuardStatus(func(string) (net.Conn, error) { return here, nil }),
-			}
+				Dial: func(string) (net.Conn, error) { return here, nil },
+			})
 			for i, failed := range c.failed {
 				request, response := &fasthttp.Request{}, &fasthttp.Response{}
 				request.SetRequestURI("http://s/")
--- /dev/null
+++ b/http1/head.go
@@ -0,0 +1,165 @@
+package http1
+
+import (
+	"bytes"
+
+	"github.com/valyala/fasthttp"
+)
+
+type (
+	// headCheck checks the lines of heads and trailers, one after the other, before fasthttp
+	// parses them. fasthttp takes lines that RFC 9112 does not allow, and may give them
+	// another meaning than the next reader.
+	headCheck struct {
+		expects expectation
+		// interim is set if the head is that of an interim response.
+		interim bool
+		// oldVersion is set if the head is that of a response of HTTP/1.0.
+		oldVersion bool
+		// hasField is set once a field has been read that the next line may continue.
+		hasField bool
+	}
+
+	// expectation is the part of a response that is read next.
+	expectation int
+)
+
+const (
+	anything expectation = iota
+	statusLine
+	fieldLine
+)
+
+const (
+	// maxQuotedBytes is how much of an invalid line stands in an error.
+	maxQuotedBytes = 64
+
+	// tokenBytes are the bytes that the name of a field may hold (RFC 9110, section 5.6.2).
+	tokenBytes = "!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
+)
+
+var (
+	// ErrStatus means that a response has no status from 100 to 599. fasthttp reads 000 as 200.
+	ErrStatus = errorSpace.NewType("status")
+
+	// ErrField means that a line in a response's head or trailer is not a valid field.
+	ErrField = errorSpace.NewType("field")
+
+	lineFeed         = []byte("\n")
+	carriageReturn   = []byte("\r")
+	oldVersion       = []byte("HTTP/1.0")
+	transferEncoding = []byte(fasthttp.HeaderTransferEncoding)
+
+	isTokenByte = newByteTable(tokenBytes)
+)
+
+// next takes in the next line, without its line feed. It reports whether the line ends the
+// head or the trailer.
+func (h *headCheck) next(line []byte) (ended bool, err error) {
+	line = bytes.TrimSuffix(line, carriageReturn)
+	switch {
+	case h.expects == fieldLine && len(line) == 0:
+		h.end()
+		return true, nil
+	case h.expects == fieldLine:
+		return false, h.checkField(line)
+	case len(line) == 0:
+		return false, nil
+	default:
+		return false, h.begin(line)
+	}
+}
+
+// begin takes in a status line.
+func (h *headCheck) begin(line []byte) error {
+	status, err := checkStatus(line)
+	if err != nil {
+		return err
+	}
+	*h = headCheck{expects: fieldLine, interim: status[0] == '1', oldVersion: bytes.HasPrefix(line, oldVersion)}
+	return nil
+}
+
+// end takes in the end of a head. Another head follows that of an interim response.
+func (h *headCheck) end() {
+	h.expects = anything
+	if h.interim {
+		h.expects = statusLine
+	}
+}
+
+// checkStatus returns the status in a status line: three digits from 100 to 599.
+func checkStatus(line []byte) ([]byte, error) {
+	_, rest, _ := bytes.Cut(line, []byte(" "))
+	status, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
+	if len(status) != 3 || status[0] < '1' || status[0] > '5' || !isDigit(status[1]) || !isDigit(status[2]) {
+		return nil, ErrStatus.New("the response has no status from 100 to 599: %q", quotable(line))
+	}
+	return status, nil
+}
+
+func isDigit(b byte) bool {
+	return b >= '0' && b <= '9'
+}
+
+// checkField checks a field, or a line that continues the value of one.
+func (h *headCheck) checkField(line []byte) error {
+	if line[0] == ' ' || line[0] == '\t' {
+		return h.checkContinuation(line)
+	}
+	name, value, hasColon := bytes.Cut(line, []byte(":"))
+	if !hasColon || !isToken(name) {
+		return ErrField.New("the response has an invalid name of a field: %q", quotable(line))
+	}
+	if !isFieldValue(value) {
+		return ErrField.New("the response has an invalid value of a field: %q", quotable(line))
+	}
+	if h.oldVersion && bytes.EqualFold(name, transferEncoding) {
+		return ErrFraming.New("a response of HTTP/1.0 has a transfer coding")
+	}
+	h.hasField = true
+	return nil
+}
+
+// checkContinuation checks a line that continues the value of the last field (RFC 9112,
+// section 5.2).
+func (h *headCheck) checkContinuation(line []byte) error {
+	if !h.hasField || !isFieldValue(line) {
+		return ErrField.New("the response has an invalid continuation of a field: %q", quotable(line))
+	}
+	return nil
+}
+
+// newByteTable returns a table that holds true for each of the bytes.
+func newByteTable(bytes string) (table [256]bool) {
+	for i := range len(bytes) {
+		table[bytes[i]] = true
+	}
+	return table
+}
+
+// isToken reports whether b may be the name of a field.
+func isToken(b []byte) bool {
+	for _, c := range b {
+		if !isTokenByte[c] {
+			return false
+		}
+	}
+	return len(b) > 0
+}
+
+// isFieldValue reports whether b may be the value of a field, with the blanks around it
+// (RFC 9110, section 5.5).
+func isFieldValue(b []byte) bool {
+	for _, c := range b {
+		if c == '\x7f' || (c < ' ' && c != '\t') {
+			return false
+		}
+	}
+	return true
+}
+
+// quotable returns the part of a line that may stand in an error.
+func quotable(line []byte) []byte {
+	return line[:min(len(line), maxQuotedBytes)]
+}
--- a/http1/response.go
+++ b/http1/response.go
@@ -63,9 +63,6 @@
 
 	// ErrFraming means that the end of the response cannot be known.
 	ErrFraming = errorSpace.NewType("framing")
-
-	oldVersion       = []byte("HTTP/1.0")
-	transferEncoding = []byte(fasthttp.HeaderTransferEncoding)
 )
 
 // NewResponseReader returns a reader of the responses on a connection.
@@ -94,57 +91,36 @@
 // readHead reads one head. Its buffer grows only for a head that needs it.
 func (r *ResponseReader) readHead(response *fasthttp.Response) error {
 	return r.withLargeBuffer("head", func() error {
-		if err := r.checkHead(); err != nil {
+		if err := r.checkLines(headCheck{expects: statusLine}); err != nil {
 			return err
 		}
 		return response.Header.Read(r.buffer)
 	})
 }
 
-// checkHead returns an error for a head that fasthttp would misread: one without a valid
-// status, and one of HTTP/1.0 with a transfer coding, which it ignores. It reads up to the
-// end of the status line, or of the head for HTTP/1.0, and leaves all bytes in the buffer. A
-// head that cannot be read so far is left to fasthttp.
-func (r *ResponseReader) checkHead() error {
-	for wanted := 1; wanted <= r.buffer.Size(); {
+// checkLines checks the lines of a head or a trailer up to its end. It leaves all bytes in the
+// buffer.
+func (r *ResponseReader) checkLines(check headCheck) error {
+	checked := 0
+	for wanted := 1; ; wanted = r.buffer.Buffered() + 1 {
 		_, err := r.buffer.Peek(wanted)
-		head, _ := r.buffer.Peek(r.buffer.Buffered())
-		line, rest, whole := bytes.Cut(bytes.TrimLeft(head, "\r\n"), []byte("\n"))
-		if whole {
-			line = bytes.TrimRight(line, "\r")
-			if err := checkStatus(line); err != nil || !bytes.HasPrefix(line, oldVersion) {
-				return err
+		received, _ := r.buffer.Peek(r.buffer.Buffered())
+		for {
+			line, _, whole := bytes.Cut(received[checked:], lineFeed)
+			if !whole {
+				break
 			}
-			if hasCoding, known := findTransferCoding(rest); hasCoding {
-				return ErrFraming.New("a response of HTTP/1.0 has a transfer coding")
-			} else if known {
-				return nil
+			checked += len(line) + len(lineFeed)
+			if ended, invalid := check.next(line); ended || invalid != nil {
+				return invalid
 			}
 		}
-		if err != nil {
-			return nil
+		if errors.Is(err, io.EOF) && len(received) > 0 {
+			return io.ErrUnexpectedEOF
 		}
-		wanted = len(head) + 1
-	}
-	return nil
-}
-
-// findTransferCoding reports whether a head, without its status line, has a transfer coding,
-// and whether that is known: the head is whole or has one.
-func findTransferCoding(fields []byte) (hasCoding, known bool) {
-	for {
-		line, rest, whole := bytes.Cut(fields, []byte("\n"))
-		if !whole {
-			return false, false
-		}
-		if len(bytes.TrimRight(line, "\r")) == 0 {
-			return false, true
-		}
-		name, _, _ := bytes.Cut(line, []byte(":"))
-		if bytes.EqualFold(bytes.TrimSpace(name), transferEncoding) {
-			return true, true
+		if err != nil {
+			return err
 		}
-		fields = rest
 	}
 }
 
@@ -164,7 +140,7 @@
 
 func isSmallBuffer(err error) bool {
 	var small *fasthttp.ErrSmallBuffer
-	return errors.As(err, &small)
+	return errors.Is(err, bufio.ErrBufferFull) || errors.As(err, &small)
 }
 
 // grow replaces the buffer by a larger one with the same unread bytes.
@@ -181,6 +157,15 @@
 	}
 }
 
+// ReadResponse reads the next final response with its body. head is set if it answers a HEAD
+// request.
+func ReadResponse(r *ResponseReader, response *fasthttp.Response, head bool) error {
+	if err := r.ReadHead(response); err != nil {
+		return err
+	}
+	return r.ReadBody(response, FramingOf(response, head), nil)
+}
+
 // FramingOf returns how the body of a response ends. head is set if the response answers a
 // HEAD request.
 func FramingOf(response *fasthttp.Response, head bool) Framing {
@@ -211,7 +196,7 @@
 		if err := copyBody(response, httputil.NewChunkedReader(r.buffer), hold); err != nil {
 			return err
 		}
-		return r.withLargeBuffer("trailer", func() error { return response.Header.ReadTrailer(r.buffer) })
+		return r.readTrailer(response)
 	case UntilClose:
 		return copyBody(response, r.buffer, hold)
 	default:
@@ -219,6 +204,16 @@
 	}
 }
 
+// readTrailer reads the fields after a chunked body.
+func (r *ResponseReader) readTrailer(response *fasthttp.Response) error {
+	return r.withLargeBuffer("trailer", func() error {
+		if err := r.checkLines(headCheck{expects: fieldLine}); err != nil {
+			return err
+		}
+		return response.Header.ReadTrailer(r.buffer)
+	})
+}
+
 // readFixedBody reads a body of a known length into a buffer of that length.
 func (r *ResponseReader) readFixedBody(response *fasthttp.Response, length int, hold *memory.Hold) error {
 	if length == 0 {
--- a/http1/responsetest/responses.go
+++ b/http1/responsetest/responses.go
@@ -4,6 +4,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -34,8 +36,33 @@
 		// coded is set if the body has a transfer coding, which HTTP/1.0 has not.
 		coded bool
 	}
+
+	// part is a part of what a server sends. It is valid if a response that holds it may be.
+	part struct {
+		sent  string
+		valid bool
+	}
 )
 
+// fieldNames are names that a faulty name is made of: those that frame a response and one that
+// nobody knows.
+var fieldNames = []string{"Content-Length", "Transfer-Encoding", "Connection", "X-Extra"}
+
+// soundLines are lines that RFC 9110 and RFC 9112 allow, odd as they look.
+var soundLines = []string{
+	"", "", "", "",
+	"X-Empty:\r\n",
+	"X-Blank:  \t \r\n",
+	"x-oDD_9!#$%&'*+^`|~.name: v\r\n",
+	"9: a name of one digit\r\n",
+	"X-No-Blank:v\r\n",
+	"X-Obs-Text: \xe9\xff\x80\r\n",
+	"X-Tab: a\tb : c\r\n",
+	"X-Folded: a\r\n b\r\n\tc: d\r\n",
+	"X-Twice: 1\r\nx-twice: 2\r\n",
+	"X-Bare-Line-Feed: v\nX-Next: v\r\n",
+}
+
 // Draw draws a response. Each of the fields, if it is sent, has one of the given values.
 func Draw(t *rapid.T, fields map[string][]string) Response {
 	status := rapid.SampledFrom([]string{
@@ -50,11 +77,15 @@
 	}
 	r := Response{Fields: make(map[string]string), Body: f.body, Valid: f.valid && (!f.coded || version != "HTTP/1.0")}
 	var head strings.Builder
-	if interim := rapid.SampledFrom([]string{"", "", "", "103", "199", "050"}).Draw(t, "interim"); interim != "" {
-		head.WriteString("HTTP/1.1 " + interim + " Early\r\nX: y\r\n\r\n")
-		r.Valid = r.Valid && interim >= "100"
+	interim, extra := drawInterim(t), drawExtraLines(t, fields)
+	r.Valid = r.Valid && interim.valid && extra.valid
+	head.WriteString(interim.sent)
+	fmt.Fprintf(&head, "%s %s Said\r\n", version, status)
+	before := rapid.Bool().Draw(t, "extra lines first")
+	if before {
+		head.WriteString(extra.sent)
 	}
-	fmt.Fprintf(&head, "%s %s Said\r\n%s", version, status, f.fields)
+	head.WriteString(f.fields)
 	for name, values := range fields {
 		if rapid.Bool().Draw(t, "has "+name) {
 			value := rapid.SampledFrom(values).Draw(t, name)
@@ -62,6 +93,9 @@
 			fmt.Fprintf(&head, "%s: %s\r\n", name, value)
 		}
 	}
+	if !before {
+		head.WriteString(extra.sent)
+	}
 	r.Raw = head.String() + "\r\n" + f.sent
 	n, err := strconv.Atoi(status)
 	if err != nil || len(status) != 3 || status[0] < '1' || status[0] > '5' {
@@ -71,6 +105,46 @@
 	return r
 }
 
+// drawInterim draws an interim response, or none.
+func drawInterim(t *rapid.T) part {
+	status := rapid.SampledFrom([]string{"", "", "", "103", "199", "050"}).Draw(t, "interim")
+	if status == "" {
+		return part{valid: true}
+	}
+	return part{sent: "HTTP/1.1 " + status + " Early\r\nX: y\r\n\r\n", valid: status >= "100"}
+}
+
+// drawExtraLines draws lines that a head holds beside the drawn fields.
+func drawExtraLines(t *rapid.T, fields map[string][]string) part {
+	switch rapid.SampledFrom([]string{"sound", "sound", "name", "value", "other"}).Draw(t, "extra lines") {
+	case "name":
+		names := append(slices.Sorted(maps.Keys(fields)), fieldNames...)
+		return part{sent: drawFaultyName(t, names) + ": 1\r\n"}
+	case "value":
+		faulty := rapid.ByteRange(0, 0x1f).Filter(func(b byte) bool { return b != '\t' && b != '\n' }).Draw(t, "control byte")
+		return part{sent: "X-Extra: a" + string([]byte{rapid.SampledFrom([]byte{faulty, 0x7f}).Draw(t, "faulty byte")}) + "b\r\n"}
+	case "other":
+		return part{sent: rapid.SampledFrom([]string{": 1\r\n", "no colon\r\n", "HTTP/1.1 200 OK\r\n", " \r\n: 1\r\n"}).Draw(t, "line")}
+	default:
+		return part{sent: rapid.SampledFrom(soundLines).Draw(t, "sound lines"), valid: true}
+	}
+}
+
+// drawFaultyName draws a field name with one byte that no name may hold, inside or at its end.
+// A colon is none: it ends the name.
+func drawFaultyName(t *rapid.T, names []string) string {
+	name := rapid.SampledFrom(names).Draw(t, "name")
+	faulty := rapid.Byte().Filter(func(b byte) bool { return b != ':' && !isTokenByte(b) }).Draw(t, "faulty byte")
+	common := rapid.SampledFrom([]byte{' ', '\t', 0, faulty, faulty}).Draw(t, "common or any")
+	at := rapid.IntRange(1, len(name)).Draw(t, "position")
+	return name[:at] + string([]byte{common}) + name[at:]
+}
+
+// isTokenByte reports whether a field name may hold a byte (RFC 9110, section 5.6.2).
+func isTokenByte(b byte) bool {
+	return b >= '0' && b <= '9' || b >= 'A' && b <= 'Z' || b >= 'a' && b <= 'z' || strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
+}
+
 // framings returns the ways to send a body, with and without faults.
 func framings(body string) []framing {
 	chunk := func(size string) string { return size + "\r\n" + body + "\r\n" }
@@ -87,6 +161,10 @@
 		{fields: "Connection: close\r\n", sent: body, body: body, valid: true},
 		{fields: "Transfer-Encoding: chunked\r\n", sent: last + "0\r\n\r\n", body: body, valid: true, coded: true},
 		{fields: "Transfer-Encoding: chunked\r\n" + length, sent: last + "0\r\n\r\n", body: body, valid: true, coded: true},
+		{fields: "Transfer-Encoding: chunked\r\n", sent: last + "0\r\nX-Sum: 1\r\nx-empty:\r\n\r\n", body: body, valid: true, coded: true},
+		{fields: "Transfer-Encoding: chunked\r\n", sent: last + "0\r\nX Sum: 1\r\n\r\n", coded: true},
+		{fields: "Transfer-Encoding: chunked\r\n", sent: last + "0\r\nX-Sum : 1\r\n\r\n", coded: true},
+		{fields: "Transfer-Encoding: chunked\r\n", sent: last + "0\r\nX-S\x01um: 1\r\n\r\n", coded: true},
 		{fields: "Transfer-Encoding: chunked\r\n", sent: last, coded: true},
 		{fields: length + length, sent: body, badHead: true},
 		{fields: "Transfer-Encoding: gzip\r\n", sent: body, badHead: true},
--- a/load/client.go
+++ b/load/client.go
@@ -57,12 +57,12 @@
 		region:    region,
 		bootstrap: bootstrap,
 		cache:     make(map[string]cachedLookup),
-		httpClient: &fasthttp.Client{
+		httpClient: http1.GuardClient(&fasthttp.Client{
 			MaxConnsPerHost:           maxConnsPerHost,
 			MaxIdemponentCallAttempts: 1,
 			RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-			Dial:                      http1.GuardStatus(func(address string) (net.Conn, error) { return dialer.Dial("tcp", address) }),
-		},
+			Dial:                      func(address string) (net.Conn, error) { return dialer.Dial("tcp", address) },
+		}),
 	}
 }
 
--- a/operator/client.go
+++ b/operator/client.go
@@ -43,7 +43,7 @@
 
 // NewClient returns a client that does not retry a request to the same instance.
 func NewClient(config ClientConfig) *Client {
-	return &Client{config: config, http: &fasthttp.Client{MaxIdemponentCallAttempts: 1, Dial: http1.GuardStatus(fasthttp.Dial)}}
+	return &Client{config: config, http: http1.GuardClient(&fasthttp.Client{MaxIdemponentCallAttempts: 1})}
 }
 
 // SubmitChange submits a change to one instance after another until one accepts it or
--- a/scenario/fleet_test.go
+++ b/scenario/fleet_test.go
@@ -305,7 +305,7 @@
 }
 
 // httpClient rejects responses without a valid status, which fasthttp may read as 200.
-var httpClient = &fasthttp.Client{Dial: http1.GuardStatus(fasthttp.Dial)}
+var httpClient = http1.GuardClient(&fasthttp.Client{})
 
 func post(url string, body []byte) (int, []byte, error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
--- /dev/null
+++ b/steering/head_test.go
@@ -0,0 +1,96 @@
+package steering
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	// headBegin and headEnd are the sound lines of a response, and its body.
+	headBegin = "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nSignature: x\r\n"
+	headEnd   = "Content-Length: 4\r\n\r\nbody"
+)
+
+// TestInvalidFieldNameIsNotDelivered guards against a failing server whose response has a
+// blank or a control byte in the name of a field, and that a caller gets as a success with
+// the server's signature.
+func TestInvalidFieldNameIsNotDelivered(t *testing.T) {
+	names := map[string]string{
+		"a blank inside":                  "X Extra",
+		"a blank at the end":              "X-Extra ",
+		"two blanks at the end":           "X-Extra  ",
+		"a tab inside":                    "X\tExtra",
+		"a tab at the end":                "X-Extra\t",
+		"NUL":                             "X-Ex\x00tra",
+		"SOH":                             "X-Ex\x01tra",
+		"ESC at the end":                  "X-Extra\x1b",
+		"DEL":                             "X-Ex\x7ftra",
+		"a carriage return":               "X-Ex\rtra",
+		"a line feed":                     "X-Ex\ntra",
+		"a byte of no ASCII character":    "X-Ex\xe9tra",
+		"a separator":                     "X(Extra)",
+		"none":                            "",
+		"the signature but for a blank":   "Signature ",
+		"the id but for a blank":          "Request-Id ",
+		"a decline but for a blank":       "Declined ",
+		"two words of the length's name":  "Content Length",
+		"the length's but for a blank":    "Content-Length ",
+		"the coding's but for a blank":    "Transfer-Encoding ",
+		"a blank after the first letter":  "C onnection",
+		"an encoding's but for a blank":   "Content-Encoding ",
+		"the load report but for a blank": "Load ",
+	}
+	for name, field := range names {
+		line := field + ": 1\r\n"
+		for place, answer := range map[string]string{
+			"first":  strings.Replace(headBegin, "\r\n", "\r\n"+line, 1) + headEnd,
+			"last":   headBegin + strings.Replace(headEnd, "\r\n", "\r\n"+line, 1),
+			"only":   headBegin + line + "Connection: close\r\n\r\nbody",
+			"inside": headBegin + line + headEnd,
+		} {
+			for _, path := range []string{"/a/x", "/b/x"} {
+				t.Run(name+" "+place+path, func(t *testing.T) {
+					t.Parallel()
+					response := startInstance(t, []*scriptedServer{breakOff(t, answer, false)}).send("GET", path)
+					signed := len(response.Header.Peek("Signature")) > 0
+					if response.StatusCode() != fasthttp.StatusBadGateway || signed {
+						t.Errorf("%q: got %d, signed %v:\n%s", answer, response.StatusCode(), signed, response)
+					}
+				})
+			}
+		}
+	}
+}
+
+// TestOddFieldsAreDelivered guards against sound responses that are refused, since a field
+// looks odd: RFC 9110 and RFC 9112 allow all of these.
+func TestOddFieldsAreDelivered(t *testing.T) {
+	cases := map[string]struct{ line, name, want string }{
+		"no value":               {"X-Extra:\r\n", "X-Extra", ""},
+		"only blanks":            {"X-Extra:  \t\r\n", "X-Extra", ""},
+		"no blank":               {"X-Extra:v\r\n", "X-Extra", "v"},
+		"blanks and tabs around": {"X-Extra: \tv\t \r\n", "X-Extra", "v"},
+		"a tab inside":           {"X-Extra: a\tb\r\n", "X-Extra", "a\tb"},
+		"any case":               {"x-eXTRA: v\r\n", "X-Extra", "v"},
+		"all kinds of bytes":     {"9!#$%&'*+-.^_`|~aZ: v\r\n", "9!#$%&'*+-.^_`|~az", "v"},
+		"a colon in the value":   {"X-Extra: : b\r\n", "X-Extra", ": b"},
+		"bytes of no ASCII":      {"X-Extra: \xe9\xff\x80\r\n", "X-Extra", "\xe9\xff\x80"},
+		"folded":                 {"X-Extra: a\r\n \t b\r\n", "X-Extra", "a b"},
+		"long":                   {"X-Extra: " + strings.Repeat("v", 3_000) + "\r\n", "X-Extra", strings.Repeat("v", 3_000)},
+		"ended by a line feed":   {"X-Extra: v\nX-Next: v\r\n", "X-Extra", "v"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			response := startInstance(t, []*scriptedServer{breakOff(t, headBegin+c.line+headEnd, false)}).send("GET", "/a/x")
+			if response.StatusCode() != fasthttp.StatusOK || string(response.Body()) != "body" {
+				t.Fatalf("got %d, body %q", response.StatusCode(), response.Body())
+			}
+			if got := string(response.Header.Peek(c.name)); got != c.want {
+				t.Errorf("got the value %q, want %q", got, c.want)
+			}
+		})
+	}
+}
--- a/tableservice/client.go
+++ b/tableservice/client.go
@@ -46,15 +46,15 @@
 func NewClient(config ClientConfig) *Client {
 	return &Client{
 		config: config,
-		http: &fasthttp.HostClient{
+		http: http1.GuardHostClient(&fasthttp.HostClient{
 			Addr:                config.Address,
-			Dial:                http1.GuardStatus(dialFrom(config.Source)),
+			Dial:                dialFrom(config.Source),
 			MaxConns:            maxConnections,
 			MaxIdleConnDuration: maxIdleDuration,
 			RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) {
 				return false, false
 			},
-		},
+		}),
 	}
 }
 
