Take no transfer coding from a version that fasthttp does not know

What callers saw: an answer "HTTP/1.2 200 OK" (or 2.0, 0.9) with "Transfer-Encoding: chunked" was delivered with the server's signature and the framing of the chunks as its body: "4\r\nbody \r\n0\r\n\r\n", and with a length beside it "4\r\nb".

Cause: the same as with the names of fields: fasthttp's leniency changes what a line means. It drops a transfer coding of every version but 1.1, and only HTTP/1.0 was looked for.

Change: headCheck reads the version. RFC 9110, section 2.5: a later minor version is read like HTTP/1.1, another major version is none that we know. Minor versions other than 1.1 pass without a transfer coding and are a lost answer with one.

--- a/http1/head.go
+++ b/http1/head.go
@@ -14,8 +14,8 @@
 		expects expectation
 		// interim is set if the head is that of an interim response.
 		interim bool
-		// oldVersion is set if the head is that of a response of HTTP/1.0.
-		oldVersion bool
+		// hasCodings is set if fasthttp knows the transfer codings of the response's version.
+		hasCodings bool
 		// hasField is set once a field has been read that the next line may continue.
 		hasField bool
 	}
@@ -39,7 +39,8 @@
 )
 
 var (
-	// ErrStatus means that a response has no status from 100 to 599. fasthttp reads 000 as 200.
+	// ErrStatus means that a response has no status line of HTTP/1.x with a status from 100 to
+	// 599. fasthttp reads 000 as 200, and takes any version.
 	ErrStatus = errorSpace.NewType("status")
 
 	// ErrField means that a line in a response's head or trailer is not a valid field.
@@ -47,7 +48,8 @@
 
 	lineFeed         = []byte("\n")
 	carriageReturn   = []byte("\r")
-	oldVersion       = []byte("HTTP/1.0")
+	majorVersion     = []byte("HTTP/1.")
+	currentVersion   = []byte("HTTP/1.1")
 	transferEncoding = []byte(fasthttp.HeaderTransferEncoding)
 
 	isTokenByte = newByteTable(tokenBytes)
@@ -72,11 +74,15 @@
 
 // begin takes in a status line.
 func (h *headCheck) begin(line []byte) error {
-	status, err := checkStatus(line)
-	if err != nil {
-		return err
+	version, rest, _ := bytes.Cut(line, []byte(" "))
+	if !isReadableVersion(version) {
+		return ErrStatus.New("the response is not one of HTTP/1.x: %q", quotable(line))
 	}
-	*h = headCheck{expects: fieldLine, interim: status[0] == '1', oldVersion: bytes.HasPrefix(line, oldVersion)}
+	status, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
+	if !isStatus(status) {
+		return ErrStatus.New("the response has no status from 100 to 599: %q", quotable(line))
+	}
+	*h = headCheck{expects: fieldLine, interim: status[0] == '1', hasCodings: bytes.Equal(version, currentVersion)}
 	return nil
 }
 
@@ -88,14 +94,16 @@
 	}
 }
 
-// checkStatus returns the status in a status line: three digits from 100 to 599.
-func checkStatus(line []byte) ([]byte, error) {
-	_, rest, _ := bytes.Cut(line, []byte(" "))
-	status, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
-	if len(status) != 3 || status[0] < '1' || status[0] > '5' || !isDigit(status[1]) || !isDigit(status[2]) {
-		return nil, ErrStatus.New("the response has no status from 100 to 599: %q", quotable(line))
-	}
-	return status, nil
+// isReadableVersion reports whether a response of a version is read like one of HTTP/1.1 (RFC
+// 9110, section 2.5). Only the minor version may differ.
+func isReadableVersion(version []byte) bool {
+	minor, ok := bytes.CutPrefix(version, majorVersion)
+	return ok && len(minor) == 1 && isDigit(minor[0])
+}
+
+// isStatus reports whether a status has three digits and is from 100 to 599.
+func isStatus(status []byte) bool {
+	return len(status) == 3 && status[0] >= '1' && status[0] <= '5' && isDigit(status[1]) && isDigit(status[2])
 }
 
 func isDigit(b byte) bool {
@@ -114,8 +122,8 @@
 	if !isFieldValue(value) {
 		return ErrField.New("the response has an invalid value of a field: %q", quotable(line))
 	}
-	if h.oldVersion && bytes.EqualFold(name, transferEncoding) {
-		return ErrFraming.New("a response of HTTP/1.0 has a transfer coding")
+	if !h.hasCodings && bytes.EqualFold(name, transferEncoding) {
+		return ErrFraming.New("a response of another version than HTTP/1.1 has a transfer coding")
 	}
 	h.hasField = true
 	return nil
--- a/http1/responsetest/responses.go
+++ b/http1/responsetest/responses.go
@@ -25,6 +25,13 @@
 		Fields map[string]string
 	}
 
+	// version is the beginning of a status line.
+	version struct {
+		part
+		// hasCodings is set if a reader of HTTP/1.1 knows the version's transfer codings.
+		hasCodings bool
+	}
+
 	// framing is how the body is sent.
 	framing struct {
 		fields, sent string
@@ -33,7 +40,7 @@
 		valid bool
 		// badHead is set if the head alone shows that the framing is wrong.
 		badHead bool
-		// coded is set if the body has a transfer coding, which HTTP/1.0 has not.
+		// coded is set if the body has a transfer coding.
 		coded bool
 	}
 
@@ -44,6 +51,26 @@
 	}
 )
 
+// versions are those of responses. HTTP/1.0 has no transfer codings; later minor versions are read
+// like HTTP/1.1, but for those.
+var versions = []version{
+	{part: part{sent: "HTTP/1.1", valid: true}, hasCodings: true},
+	{part: part{sent: "HTTP/1.1", valid: true}, hasCodings: true},
+	{part: part{sent: "HTTP/1.1", valid: true}, hasCodings: true},
+	{part: part{sent: "HTTP/1.1 ", valid: true}, hasCodings: true},
+	{part: part{sent: "HTTP/1.0", valid: true}},
+	{part: part{sent: "HTTP/1.2", valid: true}},
+	{part: part{sent: "HTTP/1.9", valid: true}},
+	{part: part{sent: "HTTP/0.9"}},
+	{part: part{sent: "HTTP/2.0"}},
+	{part: part{sent: "HTTP/9.9"}},
+	{part: part{sent: "HTTP/1.10"}},
+	{part: part{sent: "HTTP/2"}},
+	{part: part{sent: "http/1.1"}},
+	{part: part{sent: "HTTPS/1.1"}},
+	{part: part{sent: "HTTP/1.x"}},
+}
+
 // fieldNames are names that a faulty name is made of: those that frame a response and one that
 // nobody knows.
 var fieldNames = []string{"Content-Length", "Transfer-Encoding", "Connection", "X-Extra"}
@@ -69,18 +96,18 @@
 		"200", "200", "200", "201", "204", "304", "404", "421", "500", "503", "599",
 		"000", "001", "099", "600", "999", "0", "20", "2000", "+200", "-200", "1e2", "0x1", "", "2OO",
 	}).Draw(t, "status")
-	version := rapid.SampledFrom([]string{"HTTP/1.1", "HTTP/1.1", "HTTP/1.1", "HTTP/1.0", "HTTP/1.1 "}).Draw(t, "version")
+	version := rapid.SampledFrom(versions).Draw(t, "version")
 	body := rapid.StringMatching("[a-f0-9\r\n]{0,20}").Draw(t, "body")
 	f := rapid.SampledFrom(framings(body)).Draw(t, "framing")
 	if status == "204" || status == "304" {
 		f.body, f.valid = "", !f.badHead
 	}
-	r := Response{Fields: make(map[string]string), Body: f.body, Valid: f.valid && (!f.coded || version != "HTTP/1.0")}
+	r := Response{Fields: make(map[string]string), Body: f.body, Valid: f.valid && version.valid && (!f.coded || version.hasCodings)}
 	var head strings.Builder
 	interim, extra := drawInterim(t), drawExtraLines(t, fields)
 	r.Valid = r.Valid && interim.valid && extra.valid
 	head.WriteString(interim.sent)
-	fmt.Fprintf(&head, "%s %s Said\r\n", version, status)
+	fmt.Fprintf(&head, "%s %s Said\r\n", version.sent, status)
 	before := rapid.Bool().Draw(t, "extra lines first")
 	if before {
 		head.WriteString(extra.sent)
@@ -97,14 +124,17 @@
 		head.WriteString(extra.sent)
 	}
 	r.Raw = head.String() + "\r\n" + f.sent
-	n, err := strconv.Atoi(status)
-	if err != nil || len(status) != 3 || status[0] < '1' || status[0] > '5' {
-		r.Valid = false
-	}
-	r.Status = n
+	n, valid := parseStatus(status)
+	r.Status, r.Valid = n, r.Valid && valid
 	return r
 }
 
+// parseStatus returns the number that a status states, and whether it is one from 100 to 599.
+func parseStatus(status string) (int, bool) {
+	n, err := strconv.Atoi(status)
+	return n, err == nil && len(status) == 3 && status[0] >= '1' && status[0] <= '5'
+}
+
 // drawInterim draws an interim response, or none.
 func drawInterim(t *rapid.T) part {
 	status := rapid.SampledFrom([]string{"", "", "", "103", "199", "050"}).Draw(t, "interim")
--- a/steering/head_test.go
+++ b/steering/head_test.go
@@ -94,3 +94,22 @@
 		})
 	}
 }
+
+// TestUnknownFramingIsNotDelivered guards against a body of which a caller gets the framing of
+// the chunks, since only HTTP/1.1 has a transfer coding that this process reads.
+func TestUnknownFramingIsNotDelivered(t *testing.T) {
+	const fields = "Request-Id: 1\r\nSignature: x\r\nTransfer-Encoding: chunked\r\n"
+	for version, delivered := range map[string]bool{"1.1": true, "1.0": false, "1.2": false, "0.9": false, "2.0": false} {
+		for length, field := range map[string]string{"no length": "", "a length": "Content-Length: 4\r\n"} {
+			t.Run(version+" "+length, func(t *testing.T) {
+				t.Parallel()
+				answer := "HTTP/" + version + " 200 OK\r\n" + field + fields + "\r\n4\r\nbody\r\n0\r\n\r\n"
+				response := startInstance(t, []*scriptedServer{breakOff(t, answer, false)}).send("GET", "/a/x")
+				signed := len(response.Header.Peek("Signature")) > 0
+				if signed != delivered || (signed && string(response.Body()) != "body") {
+					t.Errorf("got %d, signed %v, body %q", response.StatusCode(), signed, response.Body())
+				}
+			})
+		}
+	}
+}
