Take no control byte in the reason of a status

What callers saw: callers of entry got the reason of a server's status line as it came, with NUL, ESC or DEL in it; a bare carriage return became a blank. steer writes reasons of its own and passed nothing on, but took such an answer for one.

Cause: fasthttp takes any bytes up to the line feed as the reason. RFC 9112, section 4, allows tabs, blanks, visible characters and bytes above 0x7f.

Change: headCheck checks the bytes of the status line like those of a value.

Measured on: 5 of 8 rows of TestReason failed, and the random tests of http1, origin and backend. All pass now, the random ones with 10,000 draws; an empty reason, tabs and bytes above 0x7f still pass.

--- a/backend/status_test.go
+++ b/backend/status_test.go
@@ -57,6 +57,24 @@
 	}
 }
 
+// TestReason guards against a control byte in the reason of a status, which a caller would get.
+func TestReason(t *testing.T) {
+	cases := map[string]bool{
+		"Sa\x00id": false, "Said\x1b": false, "Sa\rid": false, "Said\r": false, "Sa\x7fid": false,
+		"Said": true, "": true, "Sa\tid, \xe9t\xe9": true,
+	}
+	for reason, valid := range cases {
+		t.Run(reason, func(t *testing.T) {
+			address := serve(t, func(c net.Conn, request *fasthttp.Request) {
+				_, _ = fmt.Fprintf(c, "HTTP/1.1 200 %s\r\nContent-Length: 2\r\n%s: %s\r\n\r\nok", reason, RequestIDHeader, request.Header.Peek(RequestIDHeader))
+			})
+			if result := call(newTestPool(address), true, 1000); (result.Outcome == wire.Outcome_OUTCOME_DONE) != valid {
+				t.Errorf("got outcome %v, want done: %v", result.Outcome, valid)
+			}
+		})
+	}
+}
+
 // TestLoadReportNeedsStatusAndSlots guards against a load report that is no success, or
 // states no slots, and makes a server look busy.
 func TestLoadReportNeedsStatusAndSlots(t *testing.T) {
--- a/http1/head.go
+++ b/http1/head.go
@@ -40,7 +40,7 @@
 
 var (
 	// ErrStatus means that a response has no status line of HTTP/1.x with a status from 100 to
-	// 599. fasthttp reads 000 as 200, and takes any version.
+	// 599. fasthttp reads 000 as 200, takes any version, and control bytes in the reason.
 	ErrStatus = errorSpace.NewType("status")
 
 	// ErrField means that a line in a response's head or trailer is not a valid field.
@@ -78,6 +78,9 @@
 	if !isReadableVersion(version) {
 		return ErrStatus.New("the response is not one of HTTP/1.x: %q", quotable(line))
 	}
+	if !isFieldValue(rest) {
+		return ErrStatus.New("the response has a control byte in its status line: %q", quotable(line))
+	}
 	status, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
 	if !isStatus(status) {
 		return ErrStatus.New("the response has no status from 100 to 599: %q", quotable(line))
@@ -157,7 +160,7 @@
 }
 
 // isFieldValue reports whether b may be the value of a field, with the blanks around it
-// (RFC 9110, section 5.5).
+// (RFC 9110, section 5.5), or the reason of a status (RFC 9112, section 4).
 func isFieldValue(b []byte) bool {
 	for _, c := range b {
 		if c == '\x7f' || (c < ' ' && c != '\t') {
--- a/http1/responsetest/responses.go
+++ b/http1/responsetest/responses.go
@@ -71,6 +71,22 @@
 	{part: part{sent: "HTTP/1.x"}},
 }
 
+// reasons are the ends of status lines, after the status.
+var reasons = []part{
+	{sent: " Said", valid: true},
+	{sent: " Said", valid: true},
+	{sent: " Said", valid: true},
+	{sent: "", valid: true},
+	{sent: " ", valid: true},
+	{sent: " Said\tin \xe9t\xe9", valid: true},
+	{sent: " Sa\x00id"},
+	{sent: " Said\x1b"},
+	{sent: " \x7fSaid"},
+	{sent: " Said\rX-Extra: 1"},
+	{sent: "\tSaid"},
+	{sent: "\rSaid"},
+}
+
 // fieldNames are names that a faulty name is made of: those that frame a response and one that
 // nobody knows.
 var fieldNames = []string{"Content-Length", "Transfer-Encoding", "Connection", "X-Extra"}
@@ -104,10 +120,10 @@
 	}
 	r := Response{Fields: make(map[string]string), Body: f.body, Valid: f.valid && version.valid && (!f.coded || version.hasCodings)}
 	var head strings.Builder
-	interim, extra := drawInterim(t), drawExtraLines(t, fields)
-	r.Valid = r.Valid && interim.valid && extra.valid
+	interim, extra, reason := drawInterim(t), drawExtraLines(t, fields), rapid.SampledFrom(reasons).Draw(t, "reason")
+	r.Valid = r.Valid && interim.valid && extra.valid && reason.valid
 	head.WriteString(interim.sent)
-	fmt.Fprintf(&head, "%s %s Said\r\n", version.sent, status)
+	fmt.Fprintf(&head, "%s %s%s\r\n", version.sent, status, reason.sent)
 	before := rapid.Bool().Draw(t, "extra lines first")
 	if before {
 		head.WriteString(extra.sent)
