Count no field of a trailer as one of the head

What callers saw: a 200 without a signature, or without the id of its request, when the server sent these after the chunks; trailers are not passed on. A request whose answer said "not run" in its trailer only was refused with 503 although the answer was whole and signed.

Cause: fasthttp keeps the fields of a trailer in the header that it reads them into, and Peek does not tell them from those of the head.

Change: ResponseReader checks a trailer, reads it into a header of its own and drops it, with its announcement. A signature or an id counts in the head only.

--- a/http1/response.go
+++ b/http1/response.go
@@ -204,13 +204,16 @@
 	}
 }
 
-// readTrailer reads the fields after a chunked body.
+// readTrailer reads the fields after a chunked body and drops them: in the response, fasthttp
+// would not tell them from those of the head.
 func (r *ResponseReader) readTrailer(response *fasthttp.Response) error {
+	_ = response.Header.SetTrailer("")
 	return r.withLargeBuffer("trailer", func() error {
 		if err := r.checkLines(headCheck{expects: fieldLine}); err != nil {
 			return err
 		}
-		return response.Header.ReadTrailer(r.buffer)
+		var dropped fasthttp.ResponseHeader
+		return dropped.ReadTrailer(r.buffer)
 	})
 }
 
--- a/steering/head_test.go
+++ b/steering/head_test.go
@@ -113,3 +113,36 @@
 		}
 	}
 }
+
+// TestTrailerIsNotTheHead guards against a field of a trailer that counts like one of the head:
+// callers do not get trailers, so they would get a response without its signature or id.
+func TestTrailerIsNotTheHead(t *testing.T) {
+	const id, signature = "Request-Id: 1\r\n", "Signature: x\r\n"
+	cases := map[string]struct {
+		head, trailer string
+		delivered     bool
+	}{
+		"signature in the trailer": {head: id, trailer: signature},
+		"id in the trailer":        {head: signature, trailer: id},
+		"both in the trailer":      {trailer: id + signature},
+		"decline in the trailer":   {head: id + signature, trailer: "Declined: 1\r\n", delivered: true},
+		"another id there":         {head: id + signature, trailer: "Request-Id: 2\r\n", delivered: true},
+		"announced, in the head":   {head: id + signature + "Trailer: Signature, Request-Id\r\n", delivered: true},
+		"announced before":         {head: "Trailer: Signature\r\n" + id + signature, delivered: true},
+		"a checksum there":         {head: id + signature + "Trailer: X-Sum\r\n", trailer: "X-Sum: 1\r\n", delivered: true},
+	}
+	for name, c := range cases {
+		for _, path := range []string{"/a/x", "/b/x"} {
+			t.Run(name+path, func(t *testing.T) {
+				t.Parallel()
+				answer := "HTTP/1.1 200 OK\r\n" + c.head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n" + c.trailer + "\r\n"
+				response := startInstance(t, []*scriptedServer{breakOff(t, answer, false)}).send("GET", path)
+				delivered := response.StatusCode() == fasthttp.StatusOK
+				signed := len(response.Header.Peek("Signature")) > 0 && len(response.Header.Peek("Request-Id")) > 0
+				if delivered != c.delivered || (delivered && !signed) {
+					t.Errorf("got %d, want delivered %v:\n%s", response.StatusCode(), c.delivered, response)
+				}
+			})
+		}
+	}
+}
