Take no answer with two content encodings

What callers saw: an answer with "Content-Encoding: gzip" and, after it, "Content-Encoding:" was delivered with the server's signature, its encoded body and no encoding.

Cause: fasthttp keeps the last of several fields of this name, so that the check for an encoding that nobody asked for saw none. Several lines mean a list (RFC 9110, section 5.3), which cannot be kept here; entry would pass on its last part.

Change: headCheck takes one content encoding.

--- a/http1/head.go
+++ b/http1/head.go
@@ -18,6 +18,8 @@
 		hasCodings bool
 		// hasField is set once a field has been read that the next line may continue.
 		hasField bool
+		// hasEncoding is set once a content encoding has been read.
+		hasEncoding bool
 	}
 
 	// expectation is the part of a response that is read next.
@@ -51,6 +53,7 @@
 	majorVersion     = []byte("HTTP/1.")
 	currentVersion   = []byte("HTTP/1.1")
 	transferEncoding = []byte(fasthttp.HeaderTransferEncoding)
+	contentEncoding  = []byte(fasthttp.HeaderContentEncoding)
 
 	isTokenByte = newByteTable(tokenBytes)
 )
@@ -125,10 +128,22 @@
 	if !isFieldValue(value) {
 		return ErrField.New("the response has an invalid value of a field: %q", quotable(line))
 	}
-	if !h.hasCodings && bytes.EqualFold(name, transferEncoding) {
+	h.hasField = true
+	return h.checkMeaning(name)
+}
+
+// checkMeaning returns an error for a field that fasthttp drops although it says how the body is
+// to be read: a transfer coding of another version than HTTP/1.1, and a content encoding that
+// another one follows.
+func (h *headCheck) checkMeaning(name []byte) error {
+	switch {
+	case bytes.EqualFold(name, transferEncoding) && !h.hasCodings:
 		return ErrFraming.New("a response of another version than HTTP/1.1 has a transfer coding")
+	case bytes.EqualFold(name, contentEncoding) && h.hasEncoding:
+		return ErrField.New("a response has two content encodings")
+	case bytes.EqualFold(name, contentEncoding):
+		h.hasEncoding = true
 	}
-	h.hasField = true
 	return nil
 }
 
--- a/steering/head_test.go
+++ b/steering/head_test.go
@@ -146,3 +146,26 @@
 		}
 	}
 }
+
+// TestRepeatedEncodingIsNotDelivered guards against an encoded body that a caller gets without
+// its encoding, since a later field without a value replaces the earlier one.
+func TestRepeatedEncodingIsNotDelivered(t *testing.T) {
+	cases := map[string]bool{
+		"Content-Encoding: gzip\r\n":                          false,
+		"Content-Encoding: gzip\r\nContent-Encoding:\r\n":     false,
+		"Content-Encoding:\r\ncontent-encoding: gzip\r\n":     false,
+		"Content-Encoding: br\r\nContent-Encoding: gzip\r\n":  false,
+		"Content-Encoding:\r\n":                               true,
+		"Content-Language: de\r\nContent-Language: fr\r\n":    true,
+		"Accept-Encoding: gzip\r\nX-Content-Encoding: br\r\n": true,
+	}
+	for fields, delivered := range cases {
+		t.Run(fields, func(t *testing.T) {
+			t.Parallel()
+			response := startInstance(t, []*scriptedServer{breakOff(t, headBegin+fields+headEnd, false)}).send("GET", "/a/x")
+			if got := response.StatusCode() == fasthttp.StatusOK; got != delivered {
+				t.Errorf("got %d, want delivered %v", response.StatusCode(), delivered)
+			}
+		})
+	}
+}
