Bound what the answers to our own calls hold

What operators of similar systems saw, and what can happen here: a store, a table service or an instance that answers without end, or states a length that nothing has, ends the process that had called it, and with it the requests of all its callers.

Cause: the clients of fasthttp set no limit on a body.

Ruled out: heads, interim answers, chunk extensions and trailers without end hold no more than a read buffer (rows that passed before). steer's and entry's requests to servers count their answers in an account already (TestEndlessResponses, TestMemoryOfEndlessResponses).

Other guarded clients read 32 MiB at most. A body that grows near its limit grows by what there is room for, not by 16 KiB a copy.

--- a/http1/guard.go
+++ b/http1/guard.go
@@ -4,9 +4,13 @@
 	"bytes"
 	"net"
 
+	"github.com/bulrushferry/bulrushferry/memory"
 	"github.com/valyala/fasthttp"
 )
 
+// maxClientBodyBytes limits the body of a response that a guarded client reads by itself.
+const maxClientBodyBytes = 32 << 20
+
 // responseGuard checks the heads of the responses that are read on a client's connection. A
 // response is expected after each write. It is not safe for concurrent use, like the
 // connection of an HTTP client.
@@ -18,18 +22,29 @@
 }
 
 // GuardClient changes a client, which reads responses by itself, so that it fails at those
-// with an invalid head. It returns the client.
+// with an invalid head and at those that are too large. It returns the client.
 func GuardClient(client *fasthttp.Client) *fasthttp.Client {
-	client.Dial = guardDial(client.Dial)
+	client.Dial, client.MaxResponseBodySize = guardDial(client.Dial), maxClientBodyBytes
 	return client
 }
 
 // GuardHostClient is like GuardClient, for a client of one host.
 func GuardHostClient(client *fasthttp.HostClient) *fasthttp.HostClient {
-	client.Dial = guardDial(client.Dial)
+	client.Dial, client.MaxResponseBodySize = guardDial(client.Dial), maxClientBodyBytes
 	return client
 }
 
+// ReadStreamedBody reads the body of a response that a client has read with StreamBody set. Each
+// part is added to hold before it is kept.
+func ReadStreamedBody(response *fasthttp.Response, hold *memory.Hold) error {
+	body := response.BodyStream()
+	if body == nil {
+		return nil
+	}
+	defer func() { _ = response.CloseBodyStream() }()
+	return readBody(response, body, FramingOf(response, false), hold)
+}
+
 // guardDial returns a dial function whose connections fail at a response with an invalid
 // head. A nil function stands for that of fasthttp.
 func guardDial(dial fasthttp.DialFunc) fasthttp.DialFunc {
--- a/http1/response.go
+++ b/http1/response.go
@@ -185,20 +185,23 @@
 // ReadBody reads the body of the response whose head was read last. Each part is added to
 // hold before it is kept.
 func (r *ResponseReader) ReadBody(response *fasthttp.Response, framing Framing, hold *memory.Hold) error {
+	if framing != Chunked {
+		return readBody(response, r.buffer, framing, hold)
+	}
+	if err := readBody(response, httputil.NewChunkedReader(r.buffer), framing, hold); err != nil {
+		return err
+	}
+	return r.readTrailer(response)
+}
+
+// readBody reads a body that ends as its framing says. A chunked one comes without the framing
+// of the chunks.
+func readBody(response *fasthttp.Response, body io.Reader, framing Framing, hold *memory.Hold) error {
 	switch framing {
 	case FixedLength:
-		length := int64(response.Header.ContentLength())
-		if length > maxBodyBytes {
-			return ErrTooLarge.New("the response's body has %d bytes, more than %d", length, int64(maxBodyBytes))
-		}
-		return r.readFixedBody(response, int(length), hold)
-	case Chunked:
-		if err := copyBody(response, httputil.NewChunkedReader(r.buffer), hold); err != nil {
-			return err
-		}
-		return r.readTrailer(response)
-	case UntilClose:
-		return copyBody(response, r.buffer, hold)
+		return readFixedBody(response, body, hold)
+	case Chunked, UntilClose:
+		return copyBody(response, body, hold)
 	default:
 		return nil
 	}
@@ -218,18 +221,22 @@
 }
 
 // readFixedBody reads a body of a known length into a buffer of that length.
-func (r *ResponseReader) readFixedBody(response *fasthttp.Response, length int, hold *memory.Hold) error {
+func readFixedBody(response *fasthttp.Response, body io.Reader, hold *memory.Hold) error {
+	length := response.Header.ContentLength()
 	if length == 0 {
 		return nil
 	}
+	if int64(length) > maxBodyBytes {
+		return ErrTooLarge.New("the response's body has %d bytes, more than %d", length, int64(maxBodyBytes))
+	}
 	if !hold.Grow(length) {
 		return ErrTooLarge.New("there is no memory for the response's body of %d bytes", length)
 	}
-	body := make([]byte, length)
-	if _, err := io.ReadFull(r.buffer, body); err != nil {
+	out := make([]byte, length)
+	if _, err := io.ReadFull(body, out); err != nil {
 		return err
 	}
-	response.SetBodyRaw(body)
+	response.SetBodyRaw(out)
 	return nil
 }
 
@@ -257,10 +264,10 @@
 	}
 }
 
-// growBody returns a copy of a body with more capacity, by half if there is room for that, or
-// nil if there is no room.
+// growBody returns a copy of a body with more capacity, by half or by as much as there is room
+// for, or nil if there is no room.
 func growBody(body []byte, hold *memory.Hold) []byte {
-	for _, more := range []int{max(cap(body)/2, firstBodyBytes), firstBodyBytes} {
+	for more := max(cap(body)/2, firstBodyBytes); more >= firstBodyBytes; more /= 2 {
 		if hold.Grow(more) {
 			return append(make([]byte, 0, cap(body)+more), body...)
 		}
--- a/memory/limits.go
+++ b/memory/limits.go
@@ -41,6 +41,12 @@
 	}
 }
 
+// LimitsOfResponses returns limits of an account of responses only. Each may take a number of
+// bytes, and all that are read at a time a few times that.
+func LimitsOfResponses(maxBytes int64) Limits {
+	return Limits{Total: maxBytes * largestResponseShare, Responses: maxBytes * largestResponseShare}
+}
+
 // CollectorLimit returns the soft limit of the garbage collector, in bytes, for a process
 // with a memory limit in MiB.
 func CollectorLimit(memoryMB int) int64 {
--- a/origin/bad_server_test.go
+++ b/origin/bad_server_test.go
@@ -6,13 +6,13 @@
 	"fmt"
 	"io"
 	"net"
-	"runtime"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/bulrushferry/bulrushferry/clock"
+	"github.com/bulrushferry/bulrushferry/http1/responsetest"
 	"github.com/bulrushferry/bulrushferry/memory"
 	"github.com/bulrushferry/bulrushferry/placement"
 	"github.com/joomcode/errorx"
@@ -108,9 +108,7 @@
 	pool := newTestPool()
 	pool.config.Memory = account
 	var open, calls sync.WaitGroup
-	before := heapInUse()
-	peak, stop := make(chan uint64, 1), make(chan struct{})
-	go samplePeak(peak, stop)
+	heap := responsetest.WatchHeap()
 	for n := range 50 {
 		body := endless["long body"]
 		if n%2 == 0 {
@@ -143,37 +141,13 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 	calls.Wait()
-	close(stop)
-	grown := int64(<-peak) - int64(before)
+	grown := heap.Stop()
 	t.Logf("the heap grew by %d MiB at most, the limit of the bodies is %d MiB", grown>>20, limit>>20)
 	if grown > 4*limit {
 		t.Errorf("the heap grew by %d bytes, the bodies may hold %d", grown, limit)
 	}
 }
 
-func heapInUse() uint64 {
-	runtime.GC()
-	var stats runtime.MemStats
-	runtime.ReadMemStats(&stats)
-	return stats.HeapInuse
-}
-
-// samplePeak sends the largest heap in use until stop is closed.
-func samplePeak(peak chan<- uint64, stop <-chan struct{}) {
-	largest := uint64(0)
-	for {
-		select {
-		case <-stop:
-			peak <- largest
-			return
-		case <-time.After(5 * time.Millisecond):
-			var stats runtime.MemStats
-			runtime.ReadMemStats(&stats)
-			largest = max(largest, stats.HeapInuse)
-		}
-	}
-}
-
 // TestLargeHead checks that an honest response with a large head passes, and that its
 // connection is used again.
 func TestLargeHead(t *testing.T) {
--- a/tableservice/client.go
+++ b/tableservice/client.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/bulrushferry/bulrushferry/http1"
+	"github.com/bulrushferry/bulrushferry/memory"
 	"github.com/bulrushferry/bulrushferry/wire"
 	"github.com/valyala/fasthttp"
 	"google.golang.org/protobuf/proto"
@@ -31,21 +32,27 @@
 	Client struct {
 		config ClientConfig
 		http   *fasthttp.HostClient
+		// answers is the memory of the answers that are being read.
+		answers *memory.Account
 	}
 )
 
 const (
-	callerHeader        = "Platform-Caller"
-	maxConnections      = 16
-	maxIdleDuration     = 10 * time.Second
-	dialTimeout         = time.Second
+	callerHeader    = "Platform-Caller"
+	maxConnections  = 16
+	maxIdleDuration = 10 * time.Second
+	dialTimeout     = time.Second
+	// maxAnswerBytes limits an answer: a rules file may have 4 MiB, and a read of their history
+	// returns several.
+	maxAnswerBytes      = 16 << 20
 	contentTypeProtobuf = "application/x-protobuf"
 )
 
 // NewClient returns a client of the table service.
 func NewClient(config ClientConfig) *Client {
 	return &Client{
-		config: config,
+		config:  config,
+		answers: memory.NewAccount(memory.LimitsOfResponses(maxAnswerBytes)),
 		http: http1.GuardHostClient(&fasthttp.HostClient{
 			Addr:                config.Address,
 			Dial:                dialFrom(config.Source),
@@ -118,10 +125,16 @@
 	req.Header.SetContentType(contentTypeProtobuf)
 	req.Header.Set(callerHeader, c.config.Caller)
 	req.SetBodyRaw(payload)
+	resp.StreamBody = true
 	err = c.http.DoDeadline(req, resp, c.deadline(ctx))
 	if err != nil {
 		return err
 	}
+	hold := c.answers.Hold(memory.Responses)
+	defer hold.Release()
+	if err := http1.ReadStreamedBody(resp, hold); err != nil {
+		return err
+	}
 	if resp.StatusCode() != fasthttp.StatusOK {
 		return ErrUnavailable.New("platform answered %d: %s", resp.StatusCode(), resp.Body())
 	}
