Bound what load reports hold

What can happen: servers that answer entry's probes without end end its process: each probe kept up to 64 MiB and all servers are probed at a time. steer sends no probes.

Cause: a probe's response was counted in no account; only the largest body of any response bounded it.

Change: reports have an account of their own, 1 MiB a report and four times that together, so that they take nothing from the answers to requests.

--- a/backend/pool.go
+++ b/backend/pool.go
@@ -44,6 +44,8 @@
 		config     PoolConfig
 		quarantine *Quarantine
 		budgets    *RetryBudgets
+		// reports is the memory of the load reports that are being read.
+		reports *memory.Account
 
 		mu       sync.Mutex
 		servers  map[string]*server
@@ -79,6 +81,7 @@
 		config:     config,
 		quarantine: NewQuarantine(config.Clock),
 		budgets:    NewRetryBudgets(),
+		reports:    memory.NewAccount(memory.LimitsOfResponses(maxReportBytes)),
 		servers:    make(map[string]*server),
 		services:   make(map[string]*serviceState),
 		regions:    make(map[string]*regionLoad),
--- a/backend/probe.go
+++ b/backend/probe.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/bulrushferry/bulrushferry/clock"
+	"github.com/bulrushferry/bulrushferry/memory"
 	"github.com/bulrushferry/bulrushferry/wire"
 	"github.com/valyala/fasthttp"
 	"google.golang.org/protobuf/encoding/protojson"
@@ -12,6 +13,8 @@
 const (
 	loadPath     = "/load"
 	probeTimeout = 500 * clock.Millis(1)
+	// maxReportBytes limits a load report, which takes a few hundred bytes.
+	maxReportBytes = 1 << 20
 	// busyPercent is the percentage of used slots at which a server counts as busy.
 	busyPercent = 90
 )
@@ -64,7 +67,9 @@
 	defer fasthttp.ReleaseResponse(response)
 	request.SetRequestURI("http://" + s.info().GetAddress() + loadPath)
 	request.SetConnectionClose()
-	err = c.exchange(request, response, exchangeOptions{requestID: "probe", deadline: deadline, timeLeft: probeTimeout})
+	hold := p.reports.Hold(memory.Responses)
+	defer hold.Release()
+	err = c.exchange(request, response, exchangeOptions{requestID: "probe", deadline: deadline, timeLeft: probeTimeout, hold: hold})
 	if err != nil || response.StatusCode() != fasthttp.StatusOK {
 		return nil, false
 	}
--- a/backend/status_test.go
+++ b/backend/status_test.go
@@ -5,8 +5,12 @@
 	"fmt"
 	"io"
 	"net"
+	"runtime/debug"
+	"sync"
 	"testing"
 
+	"github.com/bulrushferry/bulrushferry/http1/responsetest"
+	"github.com/bulrushferry/bulrushferry/memory"
 	"github.com/bulrushferry/bulrushferry/wire"
 	"github.com/valyala/fasthttp"
 )
@@ -103,3 +107,51 @@
 		})
 	}
 }
+
+// TestEndlessLoadReports guards against servers that answer probes without end and take all of
+// the process's memory. Afterwards ordinary probes succeed.
+func TestEndlessLoadReports(t *testing.T) {
+	const (
+		servers  = 40
+		memoryMB = 512
+		maxHeap  = memoryMB << 20
+	)
+	defer debug.SetMemoryLimit(debug.SetMemoryLimit(memory.CollectorLimit(memoryMB)))
+	for name := range responsetest.Endless {
+		t.Run(name, func(t *testing.T) {
+			var endless []*responsetest.EndlessServer
+			var addresses []string
+			for range servers {
+				server := responsetest.ServeEndless(t, `{"slots":4,"in_flight":4}`)
+				server.Start(name)
+				endless, addresses = append(endless, server), append(addresses, server.Address)
+			}
+			pool := newTestPool(addresses...)
+			heap := responsetest.WatchHeap()
+			probeAll(pool)
+			grown := heap.Stop()
+			t.Logf("the heap grew by %d MiB, bound %d MiB", grown>>20, maxHeap>>20)
+			if grown > maxHeap {
+				t.Error("the heap grew beyond its bound")
+			}
+			for _, server := range endless {
+				server.Stop()
+			}
+			probeAll(pool)
+			for _, s := range pool.servers {
+				if !s.reportedBusy {
+					t.Fatal("an ordinary report did not count")
+				}
+			}
+		})
+	}
+}
+
+// probeAll probes all servers of a pool at a time.
+func probeAll(pool *Pool) {
+	var probes sync.WaitGroup
+	for _, s := range pool.servers {
+		probes.Go(func() { pool.probe(s) })
+	}
+	probes.Wait()
+}
--- a/http1/responsetest/endless.go
+++ b/http1/responsetest/endless.go
@@ -49,6 +49,7 @@
 	"no answer":              {piece: "\x00\xff\x17"},
 	"a body until the close": {begin: "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", piece: strings.Repeat(" ", 64<<10)},
 	"a length":               {begin: "HTTP/1.1 200 OK\r\nContent-Length: 4000000000\r\n\r\n", piece: strings.Repeat(" ", 64<<10)},
+	"a length of 60 MB":      {begin: "HTTP/1.1 200 OK\r\nContent-Length: 60000000\r\n\r\n", piece: strings.Repeat(" ", 64<<10)},
 	"no possible length":     {begin: "HTTP/1.1 200 OK\r\nContent-Length: 999999999999999999\r\n\r\n", piece: strings.Repeat(" ", 64<<10)},
 	"chunks":                 {begin: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", piece: "10000\r\n" + strings.Repeat(" ", 64<<10) + "\r\n"},
 	"a chunk":                {begin: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nfffffffffffffff\r\n", piece: strings.Repeat(" ", 64<<10)},
