Refuse requests with an invalid field

Cause: the same reader. fasthttp takes blanks inside a request's names, and joins continued lines in place each time that a head is gone through.

Change: CheckRequestFields checks the fields of a request like those of an answer; gateway refuses with 400, entry with bad_request. A continued field is refused, as RFC 9112, section 5.2, allows. Errors name the field, not its value, which may be a key.

--- a/caller/request.go
+++ b/caller/request.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"github.com/bulrushferry/bulrushferry/clock"
+	"github.com/bulrushferry/bulrushferry/http1"
 	"github.com/bulrushferry/bulrushferry/once"
 	"github.com/bulrushferry/bulrushferry/wire"
 	"github.com/valyala/fasthttp"
@@ -51,9 +52,12 @@
 	fasthttp.HeaderExpect,
 }
 
-// checkUnambiguous refuses a request whose path or body length different servers could
+// checkUnambiguous refuses a request whose fields, path or body length different servers could
 // interpret differently. It reports whether the request is accepted.
 func checkUnambiguous(request *fasthttp.Request) (Result, bool) {
+	if err := http1.CheckRequestFields(request.Header.RawHeaders()); err != nil {
+		return notRun(CodeBadRequest, "a field of the request is not valid"), false
+	}
 	path := strings.ToLower(string(request.URI().PathOriginal()))
 	for _, segment := range strings.Split(path, "/") {
 		if segment == ".." || segment == "." {
--- a/caller/request_test.go
+++ b/caller/request_test.go
@@ -50,6 +50,27 @@
 	}
 }
 
+// TestInvalidFieldsAreRefused guards against a field of a request that different servers could
+// interpret differently.
+func TestInvalidFieldsAreRefused(t *testing.T) {
+	cases := map[string]bool{
+		"X Extra: 1\r\n": false, "Transfer Encoding: chunked\r\n": false, "X-Extra: a\r\n b\r\n": false,
+		"x_9~: \xe9\r\n": true, "X-Extra:\r\n": true, "X-Extra: : a\tb\r\n": true, "": true,
+	}
+	for fields, accepted := range cases {
+		t.Run(fields, func(t *testing.T) {
+			request := &fasthttp.Request{}
+			text := "GET /v1/s/desk/x HTTP/1.1\r\nHost: h\r\n" + fields + "\r\n"
+			if err := request.Read(bufio.NewReader(strings.NewReader(text))); err != nil {
+				t.Fatal(err)
+			}
+			if refusal, ok := checkUnambiguous(request); ok != accepted {
+				t.Errorf("accepted: %v, want %v: %s", ok, accepted, refusal.Message)
+			}
+		})
+	}
+}
+
 // passOn sends a request to a server for callers and returns the one for backend servers
 // in wire format.
 func passOn(t *testing.T, text string) string {
--- a/gateway/read.go
+++ b/gateway/read.go
@@ -32,7 +32,7 @@
 	if err := c.readHead(x, limits.MaxHeaderBytes); err != nil {
 		return c.rejectRequest(x, headerErrorStatus(err), err)
 	}
-	if err := checkFraming(&x.Request.Header); err != nil {
+	if err := checkHead(&x.Request.Header); err != nil {
 		return c.rejectRequest(x, fasthttp.StatusBadRequest, err)
 	}
 	if err := c.readBody(x, limits); err != nil {
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/bulrushferry/bulrushferry/clock"
+	"github.com/bulrushferry/bulrushferry/http1"
 	"github.com/bulrushferry/bulrushferry/memory"
 	"github.com/bulrushferry/bulrushferry/routing"
 	"github.com/hashicorp/go-hclog"
@@ -209,9 +210,13 @@
 	response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 }
 
-// checkFraming rejects a request header that does not determine the body's length
-// unambiguously, as in request smuggling, or does not have exactly one Host.
-func checkFraming(header *fasthttp.RequestHeader) error {
+// checkHead rejects a request header with an invalid field, one that does not determine the
+// body's length unambiguously, as in request smuggling, or one that does not have exactly one
+// Host.
+func checkHead(header *fasthttp.RequestHeader) error {
+	if err := http1.CheckRequestFields(header.RawHeaders()); err != nil {
+		return err
+	}
 	raw := bytes.ToLower(header.RawHeaders())
 	lengths := countHeader(raw, "content-length:")
 	encodings := countHeader(raw, "transfer-encoding:")
--- a/gateway/server_test.go
+++ b/gateway/server_test.go
@@ -166,6 +166,10 @@
 		"two content lengths": {"POST /a/ HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", 400},
 		"length and chunks":   {"POST /a/ HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400},
 		"two hosts":           {"GET /a/ HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", 400},
+		"a blank in a name":   {"GET /a/ HTTP/1.1\r\nHost: a\r\nX Extra: 1\r\n\r\n", 400},
+		"a blank after one":   {"GET /a/ HTTP/1.1\r\nHost: a\r\nX-Extra : 1\r\n\r\n", 400},
+		"a control byte":      {"GET /a/ HTTP/1.1\r\nHost: a\r\nX-E\x01xtra: 1\r\n\r\n", 400},
+		"a folded field":      {"GET /a/ HTTP/1.1\r\nHost: a\r\nX-Extra: a\r\n b\r\n\r\n", 400},
 		"not HTTP":            {"hello\r\n\r\n", 400},
 		"body too large":      {"POST /a/ HTTP/1.1\r\nHost: a\r\nContent-Length: 101\r\n\r\n", 413},
 		"chunks too large":    {"POST /a/ HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nff\r\n" + strings.Repeat("a", 255) + "\r\n0\r\n\r\n", 413},
@@ -187,6 +191,24 @@
 	}
 }
 
+// TestOddRequests guards against sound requests that are rejected, since a field looks odd.
+func TestOddRequests(t *testing.T) {
+	_, listener := startServer(t, func(_ context.Context, x *Exchange) {
+		header := &x.Request.Header
+		response := &fasthttp.Response{}
+		response.SetBodyString(fmt.Sprintf("%q %q", header.Peek("x_9~"), header.Peek("X-Obs")))
+		x.Respond(response, func() {})
+	})
+	caller := dialServer(t, listener)
+	if _, err := io.WriteString(caller, "GET /a/ HTTP/1.1\r\nHost: a\r\nx_9~:\r\nx-OBS:\xe9\tb : c \r\nX-Twice: 1\r\nx-twice: 2\n\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	var response fasthttp.Response
+	if err := response.Read(bufio.NewReader(caller)); err != nil || string(response.Body()) != `"" "\xe9\tb : c"` {
+		t.Errorf("got %d, %q, error %v", response.StatusCode(), response.Body(), err)
+	}
+}
+
 // TestHeadResponse checks that the response to HEAD states the length that the backend
 // server stated, without a body, and that the connection carries the next request.
 func TestHeadResponse(t *testing.T) {
--- a/http1/head.go
+++ b/http1/head.go
@@ -45,7 +45,7 @@
 	// 599. fasthttp reads 000 as 200, takes any version, and control bytes in the reason.
 	ErrStatus = errorSpace.NewType("status")
 
-	// ErrField means that a line in a response's head or trailer is not a valid field.
+	// ErrField means that a line in a head or a trailer is not a valid field.
 	ErrField = errorSpace.NewType("field")
 
 	lineFeed         = []byte("\n")
@@ -118,18 +118,54 @@
 
 // checkField checks a field, or a line that continues the value of one.
 func (h *headCheck) checkField(line []byte) error {
-	if line[0] == ' ' || line[0] == '\t' {
+	if isContinuation(line) {
 		return h.checkContinuation(line)
 	}
+	name, err := checkField(line)
+	if err != nil {
+		return err
+	}
+	h.hasField = true
+	return h.checkMeaning(name)
+}
+
+// CheckRequestFields checks the fields of a request's head, without the request line. A request
+// may not continue a field on the next line (RFC 9112, section 5.2): fasthttp joins the lines in
+// place each time that it reads them, which changes the value.
+func CheckRequestFields(fields []byte) error {
+	for line := range bytes.Lines(fields) {
+		line = bytes.TrimSuffix(bytes.TrimSuffix(line, lineFeed), carriageReturn)
+		if len(line) == 0 {
+			return nil
+		}
+		if isContinuation(line) {
+			return ErrField.New("a field goes on in a second line")
+		}
+		if _, err := checkField(line); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// checkField checks a field and returns its name. Errors quote no value, which may be a key.
+func checkField(line []byte) ([]byte, error) {
 	name, value, hasColon := bytes.Cut(line, []byte(":"))
-	if !hasColon || !isToken(name) {
-		return ErrField.New("the response has an invalid name of a field: %q", quotable(line))
+	if !hasColon {
+		return nil, ErrField.New("a line of %d bytes is no field", len(line))
+	}
+	if !isToken(name) {
+		return nil, ErrField.New("a field has the invalid name %q", quotable(name))
 	}
 	if !isFieldValue(value) {
-		return ErrField.New("the response has an invalid value of a field: %q", quotable(line))
+		return nil, ErrField.New("field %s has an invalid value", quotable(name))
 	}
-	h.hasField = true
-	return h.checkMeaning(name)
+	return name, nil
+}
+
+// isContinuation reports whether a line continues the value of the field before it.
+func isContinuation(line []byte) bool {
+	return line[0] == ' ' || line[0] == '\t'
 }
 
 // checkMeaning returns an error for a field that fasthttp drops although it says how the body is
@@ -151,7 +187,7 @@
 // section 5.2).
 func (h *headCheck) checkContinuation(line []byte) error {
 	if !h.hasField || !isFieldValue(line) {
-		return ErrField.New("the response has an invalid continuation of a field: %q", quotable(line))
+		return ErrField.New("a line continues no field or has an invalid value")
 	}
 	return nil
 }
