soak: show that answers without end leave the process alive

Tests of the real program with the memory of the smallest machine (136 MiB): backend servers that answer without end in 14 ways at once, and a store that does so in one way after the other; then an ordinary request must be answered.

Each server and each way of the store must have been met.

--- a/http1/responsetest/endless.go
+++ b/http1/responsetest/endless.go
@@ -17,6 +17,8 @@
 	EndlessServer struct {
 		Address string
 		endless atomic.Pointer[endless]
+		// begun counts the answers without end.
+		begun atomic.Int64
 	}
 
 	endless struct {
@@ -64,6 +66,7 @@
 	s := &EndlessServer{}
 	s.Address = serve(t, func(c net.Conn) bool {
 		if answer := s.endless.Load(); answer != nil {
+			s.begun.Add(1)
 			answer.send(c)
 			return false
 		}
@@ -84,6 +87,11 @@
 	s.endless.Store(nil)
 }
 
+// Begun returns how many answers without end the server has begun.
+func (s *EndlessServer) Begun() int {
+	return int(s.begun.Load())
+}
+
 // send sends the answer until the client closes.
 func (e endless) send(c net.Conn) {
 	_, err := io.WriteString(c, e.begin)
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -15,12 +15,11 @@
 	// proxy forwards connections from an instance to the store and injects network
 	// faults.
 	proxy struct {
-		target string
-
 		// mu guards the fields below.
-		mu    sync.Mutex
-		mode  proxyMode
-		conns map[net.Conn]struct{}
+		mu     sync.Mutex
+		target string
+		mode   proxyMode
+		conns  map[net.Conn]struct{}
 	}
 )
 
@@ -64,6 +63,15 @@
 	}
 }
 
+// setTarget resets all connections and forwards new ones to another target.
+func (p *proxy) setTarget(target string) {
+	p.setMode(resetting)
+	p.mu.Lock()
+	p.target = target
+	p.mu.Unlock()
+	p.setMode(forwarding)
+}
+
 func (p *proxy) currentMode() proxyMode {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -73,7 +81,7 @@
 func (p *proxy) serveConn(c net.Conn) {
 	p.mu.Lock()
 	p.conns[c] = struct{}{}
-	reset := p.mode == resetting
+	reset, target := p.mode == resetting, p.target
 	p.mu.Unlock()
 	defer func() {
 		_ = c.Close()
@@ -85,7 +93,7 @@
 		_ = c.(*net.TCPConn).SetLinger(0)
 		return
 	}
-	upstream, err := net.Dial("tcp4", p.target)
+	upstream, err := net.Dial("tcp4", target)
 	if err != nil {
 		return
 	}
