http1: part the checks of single fields from those of heads

head.go had grown to two jobs: fields (names, values, requests) stand in field.go now. Reader and connection of a client go through the lines of a head with the same loop, and the function that returns a field's name has a name of its own beside the method checkField.

--- a/http1/head.go
+++ b/http1/head.go
@@ -32,32 +32,33 @@
 	fieldLine
 )
 
-const (
-	// maxQuotedBytes is how much of an invalid line stands in an error.
-	maxQuotedBytes = 64
-
-	// tokenBytes are the bytes that the name of a field may hold (RFC 9110, section 5.6.2).
-	tokenBytes = "!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
-)
-
 var (
 	// ErrStatus means that a response has no status line of HTTP/1.x with a status from 100 to
 	// 599. fasthttp reads 000 as 200, takes any version, and control bytes in the reason.
 	ErrStatus = errorSpace.NewType("status")
 
-	// ErrField means that a line in a head or a trailer is not a valid field.
-	ErrField = errorSpace.NewType("field")
-
 	lineFeed         = []byte("\n")
 	carriageReturn   = []byte("\r")
 	majorVersion     = []byte("HTTP/1.")
 	currentVersion   = []byte("HTTP/1.1")
 	transferEncoding = []byte(fasthttp.HeaderTransferEncoding)
 	contentEncoding  = []byte(fasthttp.HeaderContentEncoding)
-
-	isTokenByte = newByteTable(tokenBytes)
 )
 
+// nextLines takes in the whole lines at the beginning of b, up to the end of the head or the
+// trailer. It returns how many bytes they have, and whether that end was among them.
+func (h *headCheck) nextLines(b []byte) (taken int, ended bool, err error) {
+	for !ended && err == nil {
+		line, _, whole := bytes.Cut(b[taken:], lineFeed)
+		if !whole {
+			break
+		}
+		taken += len(line) + len(lineFeed)
+		ended, err = h.next(line)
+	}
+	return taken, ended, err
+}
+
 // next takes in the next line, without its line feed. It reports whether the line ends the
 // head or the trailer.
 func (h *headCheck) next(line []byte) (ended bool, err error) {
@@ -121,7 +122,7 @@
 	if isContinuation(line) {
 		return h.checkContinuation(line)
 	}
-	name, err := checkField(line)
+	name, err := fieldName(line)
 	if err != nil {
 		return err
 	}
@@ -129,45 +130,6 @@
 	return h.checkMeaning(name)
 }
 
-// CheckRequestFields checks the fields of a request's head, without the request line. A request
-// may not continue a field on the next line (RFC 9112, section 5.2): fasthttp joins the lines in
-// place each time that it reads them, which changes the value.
-func CheckRequestFields(fields []byte) error {
-	for line := range bytes.Lines(fields) {
-		line = bytes.TrimSuffix(bytes.TrimSuffix(line, lineFeed), carriageReturn)
-		if len(line) == 0 {
-			return nil
-		}
-		if isContinuation(line) {
-			return ErrField.New("a field goes on in a second line")
-		}
-		if _, err := checkField(line); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// checkField checks a field and returns its name. Errors quote no value, which may be a key.
-func checkField(line []byte) ([]byte, error) {
-	name, value, hasColon := bytes.Cut(line, []byte(":"))
-	if !hasColon {
-		return nil, ErrField.New("a line of %d bytes is no field", len(line))
-	}
-	if !isToken(name) {
-		return nil, ErrField.New("a field has the invalid name %q", quotable(name))
-	}
-	if !isFieldValue(value) {
-		return nil, ErrField.New("field %s has an invalid value", quotable(name))
-	}
-	return name, nil
-}
-
-// isContinuation reports whether a line continues the value of the field before it.
-func isContinuation(line []byte) bool {
-	return line[0] == ' ' || line[0] == '\t'
-}
-
 // checkMeaning returns an error for a field that fasthttp drops although it says how the body is
 // to be read: a transfer coding of another version than HTTP/1.1, and a content encoding that
 // another one follows.
@@ -191,37 +153,3 @@
 	}
 	return nil
 }
-
-// newByteTable returns a table that holds true for each of the bytes.
-func newByteTable(bytes string) (table [256]bool) {
-	for i := range len(bytes) {
-		table[bytes[i]] = true
-	}
-	return table
-}
-
-// isToken reports whether b may be the name of a field.
-func isToken(b []byte) bool {
-	for _, c := range b {
-		if !isTokenByte[c] {
-			return false
-		}
-	}
-	return len(b) > 0
-}
-
-// isFieldValue reports whether b may be the value of a field, with the blanks around it
-// (RFC 9110, section 5.5), or the reason of a status (RFC 9112, section 4).
-func isFieldValue(b []byte) bool {
-	for _, c := range b {
-		if c == '\x7f' || (c < ' ' && c != '\t') {
-			return false
-		}
-	}
-	return true
-}
-
-// quotable returns the part of a line that may stand in an error.
-func quotable(line []byte) []byte {
-	return line[:min(len(line), maxQuotedBytes)]
-}
--- a/http1/response.go
+++ b/http1/response.go
@@ -105,16 +105,11 @@
 	for wanted := 1; ; wanted = r.buffer.Buffered() + 1 {
 		_, err := r.buffer.Peek(wanted)
 		received, _ := r.buffer.Peek(r.buffer.Buffered())
-		for {
-			line, _, whole := bytes.Cut(received[checked:], lineFeed)
-			if !whole {
-				break
-			}
-			checked += len(line) + len(lineFeed)
-			if ended, invalid := check.next(line); ended || invalid != nil {
-				return invalid
-			}
+		taken, ended, invalid := check.nextLines(received[checked:])
+		if ended || invalid != nil {
+			return invalid
 		}
+		checked += taken
 		if errors.Is(err, io.EOF) && len(received) > 0 {
 			return io.ErrUnexpectedEOF
 		}
