fleet: have the test fleets begin connected

Where the second of two draws itself four times, neither knows the other and there is no fleet. In service the store's list names the others.

The first of the four draws now leaves the instance itself out, which connects the fleet; nobody knows more instances at the start than before, and the bounds are as they were.

--- a/fleet/gossip_test.go
+++ b/fleet/gossip_test.go
@@ -51,7 +51,10 @@
 		})
 		n.peers[info.GetPeerAddress()] = g
 		list = append(list, g)
-		for range 4 {
+		if i > 0 {
+			g.config.Members.Record(infos[rand.IntN(i)], c.Now())
+		}
+		for range 3 {
 			g.config.Members.Record(infos[rand.IntN(len(infos))], c.Now())
 		}
 	}
