--- a/http1/responsetest/responses.go
+++ b/http1/responsetest/responses.go
@@ -177,13 +177,13 @@
 }
 
 // drawFaultyName draws a field name with one byte that no name may hold, inside or at its end.
-// A colon is none: it ends the name.
+// It is no colon, which would end the name.
 func drawFaultyName(t *rapid.T, names []string) string {
 	name := rapid.SampledFrom(names).Draw(t, "name")
 	faulty := rapid.Byte().Filter(func(b byte) bool { return b != ':' && !isTokenByte(b) }).Draw(t, "faulty byte")
-	common := rapid.SampledFrom([]byte{' ', '\t', 0, faulty, faulty}).Draw(t, "common or any")
+	inserted := rapid.SampledFrom([]byte{' ', '\t', 0, faulty, faulty}).Draw(t, "inserted byte")
 	at := rapid.IntRange(1, len(name)).Draw(t, "position")
-	return name[:at] + string([]byte{common}) + name[at:]
+	return name[:at] + string([]byte{inserted}) + name[at:]
 }
 
 // isTokenByte reports whether a field name may hold a byte (RFC 9110, section 5.6.2).
--- a/memory/limits.go
+++ b/memory/limits.go
@@ -41,8 +41,8 @@
 	}
 }
 
-// LimitsOfResponses returns limits of an account of responses only. Each may take a number of
-// bytes, and all that are read at a time a few times that.
+// LimitsOfResponses returns limits of an account of responses only, of which each large one may
+// take a number of bytes.
 func LimitsOfResponses(maxBytes int64) Limits {
 	return Limits{Total: maxBytes * largestResponseShare, Responses: maxBytes * largestResponseShare}
 }
