soak: start the processes with SIGHUP ignored

The seed starts an instance again after a kill, and its next fault is a SIGHUP to that instance. Nothing passes between the two, so the signal comes before the new process has run an instruction of its own, and the system's default ends it.

What the test asked no program can do: the default action stands from exec until the Go runtime and main have run. What a supervisor can do is to start the process with SIGHUP ignored, as nohup does; ignored signals stay ignored over exec, and signal.Notify catches SIGHUP nevertheless. TestSoak does so now. Signals come at the same moments as before, and a process that ends of one still fails the test.

--- a/soak/settings_test.go
+++ b/soak/settings_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"os/signal"
 	"strings"
 	"sync"
 	"syscall"
@@ -89,3 +90,30 @@
 		t.Fatalf("%v ended by themselves", ended)
 	}
 }
+
+// TestHangupBeforeStart sends SIGHUP to processes that have not run their first line yet and that
+// were started with SIGHUP ignored. It must not end them, and they must heed a later one.
+func TestHangupBeforeStart(t *testing.T) {
+	ignoreHangups(t)
+	f := newFleet(t, deployment{domains: []domain{{"only", "one"}}, instances: 1, servers: 1})
+	in := f.instances[0]
+	for range 10 {
+		in.restart(t, syscall.SIGKILL, 0)
+		in.signal(syscall.SIGHUP)
+		f.waitListening()
+	}
+	in.signal(syscall.SIGHUP)
+	if !in.waitForLog("received SIGHUP", 4*time.Second) {
+		t.Error("a SIGHUP after the start was not heeded")
+	}
+	if ended := f.endedInstances(); len(ended) > 0 {
+		t.Fatalf("%v ended by themselves", ended)
+	}
+}
+
+// ignoreHangups has the processes that the test starts ignore SIGHUP until they catch it, like
+// those that nohup starts. By default SIGHUP ends a process that has not run its first line yet.
+func ignoreHangups(t *testing.T) {
+	signal.Ignore(syscall.SIGHUP)
+	t.Cleanup(func() { signal.Reset(syscall.SIGHUP) })
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -99,6 +99,8 @@
 // TestSoak injects random faults into a fleet under load. Each seed runs a fleet of its
 // own, in parallel with the others.
 func TestSoak(t *testing.T) {
+	// Seeds send SIGHUP right after a start.
+	ignoreHangups(t)
 	seeds := []uint64{uint64(time.Now().UnixNano())}
 	if *seedFlag != 0 {
 		seeds = nil
