tokens: have the model's restarted processes wait as the product's do

In the five breaches traced (each event, and who uses whose lease), an instance stops, its next process uses the share 1,285 ms after the former one gave it up, and a peer still uses a lease of the former process: that was in the middle of a change of owners when it gave up, and a change under way goes on to its end, in which an owner that is the same in both lists keeps being told so. That is by design: TakeBack reports then that the share is not free, and the next process of the product waits for a term from its own start (membership.allowPart). Only the model counted the term from the moment of giving up, whatever came of it.

The model does as the product now: the next process uses the share at once if the former one's was free at its end, and otherwise a term after its start. Ruled out: a fault of the product's own rule, which no breach needed.

--- a/tokens/model_faults_test.go
+++ b/tokens/model_faults_test.go
@@ -17,7 +17,7 @@
 		}
 	})
 	f.at(f.now+4*clock.Second, func() {
-		i.up = false
+		i.up, i.isPartFree = false, i.limiter.lessor.IsFree()
 		f.at(f.now+clock.Millis(100+f.random.IntN(2000)), func() { f.restart(i) })
 	})
 }
--- a/tokens/model_test.go
+++ b/tokens/model_test.go
@@ -60,7 +60,9 @@
 		// partFrom is when the process may use its part, by its clock, and gaveUpAt when it
 		// gave it up; zero if it has not.
 		partFrom, gaveUpAt clock.Millis
-		startedAt          clock.Millis
+		// isPartFree is set if its last process had taken its part back when it ended.
+		isPartFree bool
+		startedAt  clock.Millis
 		// knownEntries holds the hashes of the entries that it has got from others.
 		knownEntries map[uint64]bool
 		// starts counts its processes.
@@ -120,11 +122,11 @@
 			i.running[other.name] = true
 		}
 	}
-	i.partFrom = i.Now() + quota.LeaseEnd(0, modelTerm)
-	if i.gaveUpAt > 0 {
-		i.partFrom = max(i.Now(), i.gaveUpAt+i.offset+quota.LeaseEnd(0, modelTerm))
+	i.partFrom = quota.LeaseEnd(i.Now(), modelTerm)
+	if i.isPartFree {
+		i.partFrom = i.Now()
 	}
-	i.gaveUpAt = 0
+	i.gaveUpAt, i.isPartFree = 0, false
 	i.starts++
 	i.members = fleet.NewMembers(&wire.FleetInstance{Instance: i.name, Incarnation: i.incarnation(), PeerAddress: i.name, StartedMs: int64(i.fleet.now), Start: wire.Start_START_REPLACED}, clock.Second)
 	i.knownEntries = make(map[uint64]bool)
