tokens: keep the tokens of idle workspaces when a lease changes

Callers saw their first requests refused for the rate whenever an instance was just stopping. Cause: a workspace that nobody has used has no entry, and the bucket of a new entry began empty at the last change of any lease, also one that leaves the workspace's owner as it is. Stops, starts and pauses change leases all the time. The design says that such a workspace goes on without a gap; that held for those in use only.

An owner keeps what it was leased in the last minute (history.go), and fills the bucket of a new entry through these periods, as if it had been there. It can hold no more than a bucket that nobody has taken from, and entries are removed only when full.

--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -1,6 +1,10 @@
 package quota
 
-import "github.com/bulrushferry/bulrushferry/clock"
+import (
+	"slices"
+
+	"github.com/bulrushferry/bulrushferry/clock"
+)
 
 type (
 	// Ledger holds the leases of all processes, as far as they are known to one owner of
@@ -32,6 +36,12 @@
 		lease   *Lease
 		lessors int
 	}
+
+	// Holdings are the leases that a process held at some time. They are immutable.
+	Holdings struct {
+		process uint64
+		groups  []ledgerGroup
+	}
 )
 
 // ledgerRetention is how long the number of a lease that has ended is kept. Earlier leases of
@@ -162,9 +172,38 @@
 
 // Shares returns how many shares of a workspace's limit are leased to the owner.
 func (l *Ledger) Shares(workspace uint64) int {
-	shares := 0
+	return l.Holdings().Shares(workspace)
+}
+
+// Holdings returns the leases that hold now.
+func (l *Ledger) Holdings() Holdings {
+	holdings := Holdings{process: l.process, groups: make([]ledgerGroup, 0, len(l.groups))}
 	for _, group := range l.groups {
-		if group.lease.Borrower(workspace) == l.process {
+		holdings.groups = append(holdings.groups, *group)
+	}
+	return holdings
+}
+
+// WithoutLessorOf returns the leases without one of the lessors of a lease, which may be nil.
+func (h Holdings) WithoutLessorOf(lease *Lease) Holdings {
+	if lease == nil {
+		return h
+	}
+	hash := lease.Hash()
+	groups := slices.Clone(h.groups)
+	for i, group := range groups {
+		if group.lease.Hash() == hash {
+			groups[i].lessors--
+		}
+	}
+	return Holdings{process: h.process, groups: groups}
+}
+
+// Shares returns how many shares of a workspace's limit the leases give the process.
+func (h Holdings) Shares(workspace uint64) int {
+	shares := 0
+	for _, group := range h.groups {
+		if group.lessors > 0 && group.lease.Borrower(workspace) == h.process {
 			shares += group.lessors
 		}
 	}
--- a/tokens/leases.go
+++ b/tokens/leases.go
@@ -57,20 +57,26 @@
 // setFractions has all buckets filled with the leases of before up to now, and with the
 // present ones from then on. The caller must hold the lock.
 func (l *Limiter) setFractions(now clock.Millis) {
-	l.stableSince = now
+	l.history.add(now, l.holding())
 	for _, tokens := range l.workspaces {
 		tokens.bucket.SetFraction(now, l.fraction(tokens.key))
 	}
 }
 
-// fraction returns the fraction of a workspace's limit that is leased to this instance. Its own
-// share counts only while it may be used. The caller must hold the lock.
+// fraction returns the fraction of a workspace's limit that is leased to this instance. The
+// caller must hold the lock.
 func (l *Limiter) fraction(key uint64) float64 {
-	shares := l.ledger.Shares(key)
-	if own := l.ledger.Lease(l.config.Process); own != nil && !l.mayLease && own.Borrower(key) == l.config.Process {
-		shares--
+	return l.history.current().fraction(key)
+}
+
+// holding returns what is leased to this instance now. Its own share counts only while it may be
+// used. The caller must hold the lock.
+func (l *Limiter) holding() holding {
+	leases := l.ledger.Holdings()
+	if !l.mayLease {
+		leases = leases.WithoutLessorOf(l.ledger.Lease(l.config.Process))
 	}
-	return min(1, l.share*float64(shares))
+	return holding{leases: leases, share: l.share}
 }
 
 // renewReported extends the leases that have been stated again. The caller must hold the lock.
@@ -268,10 +274,10 @@
 	l.lessor.HoldUntil(read.Latest(restart.First + fleet.RestartTerm))
 	l.propose(now, owners)
 	l.publish(now, true)
-	l.stableSince, l.startedAt = min(read.Latest(restart.Last), now), now
+	l.history, l.startedAt = newHistory(min(read.Latest(restart.Last), now), l.holding()), now
 	for workspace, tokens := range l.workspaces {
 		limit, _ := l.config.Limit(workspace)
-		tokens.bucket = quota.NewBucket(l.stableSince, limit, l.fraction(tokens.key))
+		tokens.bucket = l.history.bucket(tokens.key, limit)
 	}
 }
 
--- a/tokens/limiter.go
+++ b/tokens/limiter.go
@@ -87,8 +87,8 @@
 		// instance's own counts.
 		share    float64
 		mayLease bool
-		// stableSince is since when all buckets have had the fractions that they have now.
-		stableSince clock.Millis
+		// history says what the buckets of workspaces without an entry have earned.
+		history *history
 		// createdAt is when the process started.
 		createdAt clock.Millis
 		// startedAt is when the proof was found that all instances have restarted, if it was.
@@ -176,7 +176,7 @@
 // NewLimiter returns a Limiter without tokens and leases.
 func NewLimiter(config Config) *Limiter {
 	return &Limiter{
-		config: config, createdAt: config.Clock.Now(), startedAt: config.Clock.Now() - startTime, workspaces: make(map[string]*workspaceTokens), stableSince: config.Clock.Now(),
+		config: config, createdAt: config.Clock.Now(), startedAt: config.Clock.Now() - startTime, workspaces: make(map[string]*workspaceTokens), history: newHistory(config.Clock.Now(), holding{}),
 		lessor: quota.NewLessor(config.Process), ledger: quota.NewLedger(config.Process),
 		owners: make(map[uint64]Owner), peers: make(map[string]*peerState), decoded: make(map[uint64]*decodedLease), moved: make(map[string]float64),
 	}
@@ -311,7 +311,7 @@
 }
 
 // tokensOf returns the tokens of a workspace, with the limit and the fraction of its bucket up
-// to date. A bucket that was not used has filled since the leases last changed. The caller must
+// to date. A bucket that was not used has filled with the leases of each time. The caller must
 // hold the lock.
 func (l *Limiter) tokensOf(now clock.Millis, workspace string) *workspaceTokens {
 	l.syncLeases(now)
@@ -319,7 +319,7 @@
 	tokens, ok := l.workspaces[workspace]
 	if !ok {
 		tokens = &workspaceTokens{key: quota.Key(workspace), usedAt: now, exchanging: make(map[string]clock.Millis)}
-		tokens.bucket = quota.NewBucket(l.stableSince, limit, l.fraction(tokens.key))
+		tokens.bucket = l.history.bucket(tokens.key, limit)
 		l.workspaces[workspace] = tokens
 		return tokens
 	}
--- a/tokens/model_test.go
+++ b/tokens/model_test.go
@@ -171,11 +171,11 @@
 	return nil
 }
 
-// give records tokens that are given out.
+// give records tokens that are given out, or taken back if they are negative.
 func (f *modelFleet) give(tokens float64) {
 	f.level = max(0, f.level-f.limit.RatePerS*(1+modelClockError)*(f.now-f.leakedAt).Seconds())
 	f.leakedAt = f.now
-	f.level += tokens
+	f.level = max(0, f.level+tokens)
 	f.highest = max(f.highest, f.level)
 }
 
@@ -216,14 +216,46 @@
 	f.at(f.now+clock.Millis(exchangeTimeout.Milliseconds()), func() { finish(nil) })
 	other := f.find(address)
 	f.send(i, other, func() {
-		grant := other.limiter.HandleTokenAsk(ask)
-		for _, part := range grant.GetParts() {
-			f.give(part.GetTokens())
-		}
+		grant := other.handle(ask)
 		f.send(other, i, func() { finish(grant) })
 	})
 }
 
+// handle handles a message to this instance and records the tokens that it gives out and takes
+// back.
+func (i *modelInstance) handle(ask *wire.TokenAsk) *wire.TokenGrant {
+	given, givenBack := 0.0, 0.0
+	for _, want := range ask.GetWants() {
+		givenBack += want.GetGiveBack()
+	}
+	if givenBack == 0 {
+		grant := i.limiter.HandleTokenAsk(ask)
+		for _, part := range grant.GetParts() {
+			given += part.GetTokens()
+		}
+		i.fleet.give(given)
+		return grant
+	}
+	before := i.bucketTokens()
+	grant := i.limiter.HandleTokenAsk(ask)
+	moved := i.bucketTokens() - before
+	for _, part := range grant.GetParts() {
+		given += part.GetTokens()
+	}
+	for _, returned := range grant.GetReturned() {
+		moved += returned.GetTokens()
+	}
+	// A full bucket does not take back all.
+	i.fleet.give(given - min(max(moved+given, 0), givenBack))
+	return grant
+}
+
+// bucketTokens returns the tokens in this instance's bucket.
+func (i *modelInstance) bucketTokens() float64 {
+	tokens, _ := i.limiter.tokensOf(i.Now(), modelWorkspace).bucket.State(i.Now())
+	return tokens
+}
+
 // inform tells peers of a changed lease.
 func (i *modelInstance) inform(addresses []string) {
 	for _, address := range addresses {
