tokens: give fetched tokens to the requests that waited for them

Callers far below their rate saw a single 429 now and then. A request without a token waits for an exchange with the bucket's owner, which fetches one for it.

A request that waits is a waiter now, and gets its token as it is woken, in the order of arrival. One that waits no longer leaves the list, so that no token is taken for it and the owner is not asked for it.

TestEarlierRequestsGetTheTokens failed before ("a request that waited was refused for the token that a later one has taken"); TestNoTokenForEndedWait holds the other side.

--- a/tokens/bench_test.go
+++ b/tokens/bench_test.go
@@ -148,10 +148,10 @@
 				if requests++; requests%2 == 0 {
 					manual.Advance(4)
 				}
-				admitted, wait := asking.takeOrWait(workspace)
-				if wait != nil {
+				admitted, waiting := asking.takeOrWait(workspace)
+				if waiting != nil {
 					asking.fetch(workspace)
-					admitted = asking.take(workspace)
+					admitted = asking.takeAtLast(workspace, waiting)
 				}
 				if !admitted {
 					refused++
--- a/tokens/exchange.go
+++ b/tokens/exchange.go
@@ -365,25 +365,3 @@
 	}
 	return noPart && len(t.pendingWaiters) > 0 && now-t.noPartSince < startTime
 }
-
-// keepPending has the requests that wait for the exchange that has ended wait for the next.
-func (t *workspaceTokens) keepPending() {
-	t.waiters, t.pendingWaiters = append(t.pendingWaiters, t.waiters...), nil
-}
-
-// wakeFirst wakes up to a number of the requests that wait for the exchange that has ended, in
-// the order of their arrival.
-func (t *workspaceTokens) wakeFirst(count int) {
-	for ; count > 0 && len(t.pendingWaiters) > 0; count-- {
-		close(t.pendingWaiters[0])
-		t.pendingWaiters = t.pendingWaiters[1:]
-	}
-}
-
-// wakePending wakes the requests that wait for the exchange that has ended.
-func (t *workspaceTokens) wakePending() {
-	for _, wait := range t.pendingWaiters {
-		close(wait)
-	}
-	t.pendingWaiters = nil
-}
--- a/tokens/limiter.go
+++ b/tokens/limiter.go
@@ -132,9 +132,9 @@
 	workspaceTokens struct {
 		quota.TokenCache
 		key     uint64
-		waiters []chan struct{}
+		waiters []*waiter
 		// pendingWaiters are the waiters that the exchange in progress is for.
-		pendingWaiters []chan struct{}
+		pendingWaiters []*waiter
 		// waking is set while a call is about to wake those that wait for this instance's own
 		// bucket. Without it each of them would wake all.
 		waking bool
@@ -185,21 +185,21 @@
 // Admit reports whether a request of a workspace is within its rate. It waits up to
 // tokenWait for a token.
 func (l *Limiter) Admit(ctx context.Context, workspace string) bool {
-	admitted, wait := l.takeOrWait(workspace)
-	if wait == nil {
+	admitted, waiting := l.takeOrWait(workspace)
+	if waiting == nil {
 		return admitted
 	}
 	timer := time.NewTimer(l.tokenWait().Duration())
 	defer timer.Stop()
-	for wait != nil {
+	for waiting != nil {
 		go l.fetch(workspace)
 		select {
-		case <-wait:
-			admitted, wait = l.takeOrWaitAgain(workspace)
+		case <-waiting.woken:
+			admitted, waiting = l.takeOrWaitAgain(workspace, waiting)
 		case <-timer.C:
-			return l.take(workspace)
+			return l.takeAtLast(workspace, waiting)
 		case <-ctx.Done():
-			return l.take(workspace)
+			return l.takeAtLast(workspace, waiting)
 		}
 	}
 	return admitted
@@ -236,16 +236,6 @@
 	}
 }
 
-// take takes a token that was fetched or, if there is none, one of this instance's own
-// bucket, and reports whether it got one.
-func (l *Limiter) take(workspace string) bool {
-	now := l.config.Clock.Now()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	tokens := l.tokensOf(now, workspace)
-	return tokens.Spend() || tokens.bucket.Take(now, 1) >= 1
-}
-
 // Refund gives back the token of a request that was not run.
 func (l *Limiter) Refund(workspace string) {
 	now := l.config.Clock.Now()
@@ -260,19 +250,16 @@
 }
 
 // takeOrWait takes a token and reports whether it got one. If waiting can help, it also returns
-// a channel that is closed when the request is to try again: after an exchange with the
-// bucket's owner, or after a pause if that is this instance.
-func (l *Limiter) takeOrWait(workspace string) (bool, <-chan struct{}) {
+// the waiter of the request, which is woken when the request is to try again: after an exchange
+// with the bucket's owner, or after a pause if that is this instance.
+func (l *Limiter) takeOrWait(workspace string) (bool, *waiter) {
 	now := l.config.Clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	tokens := l.tokensOf(now, workspace)
 	tokens.usedAt = now
 	tokens.ObserveRequest(now)
-	if tokens.Spend() {
-		return true, nil
-	}
-	if tokens.bucket.Take(now, 1) >= 1 {
+	if tokens.take(now) {
 		return true, nil
 	}
 	if tokens.IsExhausted(now) || len(tokens.waiters) >= maxTokenWaiters || (l.ownerAddress(now, tokens) == l.config.SelfAddress && !l.isStarting(now)) {
@@ -281,14 +268,14 @@
 	return false, tokens.addWaiter()
 }
 
-// takeOrWaitAgain is takeOrWait for a request that has waited. It goes on waiting only for this
-// instance's own bucket.
-func (l *Limiter) takeOrWaitAgain(workspace string) (bool, <-chan struct{}) {
+// takeOrWaitAgain is takeOrWait for a request that has been woken. It goes on waiting only for
+// this instance's own bucket.
+func (l *Limiter) takeOrWaitAgain(workspace string, woken *waiter) (bool, *waiter) {
 	now := l.config.Clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	tokens := l.tokensOf(now, workspace)
-	if tokens.Spend() || tokens.bucket.Take(now, 1) >= 1 {
+	if woken.hasToken || tokens.take(now) {
 		return true, nil
 	}
 	if l.ownerAddress(now, tokens) != l.config.SelfAddress || !l.isStarting(now) {
@@ -297,19 +284,22 @@
 	return false, tokens.addWaiter()
 }
 
+// takeAtLast takes a token for a request that waits no longer, and reports whether it got one.
+func (l *Limiter) takeAtLast(workspace string, waiting *waiter) bool {
+	now := l.config.Clock.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	tokens := l.tokensOf(now, workspace)
+	tokens.removeWaiter(waiting)
+	return waiting.hasToken || tokens.take(now)
+}
+
 // isStarting reports whether the process or the whole fleet has just started, so that buckets
 // may begin to fill at any moment. The caller must hold the lock.
 func (l *Limiter) isStarting(now clock.Millis) bool {
 	return now-max(l.createdAt, l.startedAt) < startTime
 }
 
-// addWaiter returns a channel that is closed when a request that waits is to try again.
-func (t *workspaceTokens) addWaiter() <-chan struct{} {
-	wait := make(chan struct{})
-	t.waiters = append(t.waiters, wait)
-	return wait
-}
-
 // tokensOf returns the tokens of a workspace, with the limit and the fraction of its bucket up
 // to date. A bucket that was not used has filled with the leases of each time. The caller must
 // hold the lock.
--- a/tokens/model_test.go
+++ b/tokens/model_test.go
@@ -266,20 +266,20 @@
 // serve has a request arrive, which may wait for a token.
 func (i *modelInstance) serve() {
 	limiter, arrivedAt := i.limiter, i.fleet.now
-	var wait <-chan struct{}
-	i.record(arrivedAt, func() (admitted bool) {
-		admitted, wait = limiter.takeOrWait(modelWorkspace)
+	var waiting *waiter
+	i.record(arrivedAt, nil, func() (admitted bool) {
+		admitted, waiting = limiter.takeOrWait(modelWorkspace)
 		return admitted
-	}, &wait)
-	if wait == nil {
+	}, &waiting)
+	if waiting == nil {
 		return
 	}
-	i.await(wait, i.fleet.now+limiter.tokenWait(), arrivedAt)
+	i.await(waiting, i.fleet.now+limiter.tokenWait(), arrivedAt)
 }
 
 // await has a request wait until it is woken or has waited for long enough, as Limiter.Admit
 // does, unless the process ends before.
-func (i *modelInstance) await(wait <-chan struct{}, until, arrivedAt clock.Millis) {
+func (i *modelInstance) await(waiting *waiter, until, arrivedAt clock.Millis) {
 	f, limiter := i.fleet, i.limiter
 	i.fetch()
 	var look func()
@@ -289,7 +289,7 @@
 		}
 		isWoken := false
 		select {
-		case <-wait:
+		case <-waiting.woken:
 			isWoken = true
 		default:
 		}
@@ -297,11 +297,11 @@
 		case f.now < i.pausedUntil || (!isWoken && f.now < until):
 			f.at(f.now+modelStep, look)
 		case f.now >= until:
-			i.record(arrivedAt, func() bool { return limiter.take(modelWorkspace) }, nil)
+			i.record(arrivedAt, waiting, func() bool { return limiter.takeAtLast(modelWorkspace, waiting) }, nil)
 		default:
-			var again <-chan struct{}
-			i.record(arrivedAt, func() (admitted bool) {
-				admitted, again = limiter.takeOrWaitAgain(modelWorkspace)
+			var again *waiter
+			i.record(arrivedAt, waiting, func() (admitted bool) {
+				admitted, again = limiter.takeOrWaitAgain(modelWorkspace, waiting)
 				return admitted
 			}, &again)
 			if again != nil {
@@ -324,20 +324,21 @@
 }
 
 // record counts whether a request gets a token, and whether that one was given out by this
-// instance's own bucket. A request that waits is not counted yet.
-func (i *modelInstance) record(arrivedAt clock.Millis, take func() bool, wait *<-chan struct{}) {
+// instance's own bucket. The request may have waited before. One that waits is not counted yet.
+func (i *modelInstance) record(arrivedAt clock.Millis, before *waiter, take func() bool, next **waiter) {
 	held := i.limiter.tokensOf(i.Now(), modelWorkspace).Tokens()
 	admitted := take()
+	isFetched := before != nil && before.hasToken
 	isCounted := arrivedAt >= i.fleet.countFrom
 	switch {
 	case admitted:
 		if isCounted {
 			i.fleet.admitted++
 		}
-		if i.limiter.workspaces[modelWorkspace].Tokens() == held {
+		if !isFetched && i.limiter.workspaces[modelWorkspace].Tokens() == held {
 			i.fleet.give(1)
 		}
-	case (wait == nil || *wait == nil) && isCounted:
+	case (next == nil || *next == nil) && isCounted:
 		i.fleet.refused++
 	}
 }
