soak: give an instance four different ports

Cause: its four ports were found one by one, by listening on port 0 and closing again, and the system may return a port twice. They are all held open now until the last one is found.

--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -214,17 +214,10 @@
 func (f *fleet) newInstance(i int, domain, region, store string) *instance {
 	p, proxyAddress := startProxy(f.t, store)
 	ip := fmt.Sprintf("127.%d.%d.%d", 100+os.Getpid()%100, 1+(os.Getpid()/100+f.number)%200, i+1)
-	port := func() string {
-		l, err := net.Listen("tcp4", ip+":0")
-		if err != nil {
-			f.t.Fatal(err)
-		}
-		defer func() { _ = l.Close() }()
-		return l.Addr().String()
-	}
+	addresses := freeAddresses(f.t, ip, 4)
 	in := &instance{
 		name: fmt.Sprintf("front-%d", i), region: region, domain: domain, proxy: p,
-		callerAddress: port(), lookupAddress: port(), readyAddress: port(), metricsAddress: ip + ":9464",
+		callerAddress: addresses[0], lookupAddress: addresses[1], readyAddress: addresses[2], metricsAddress: ip + ":9464",
 		settingsFile: filepath.Join(f.t.TempDir(), "node.json"),
 		logFile:      filepath.Join(f.t.TempDir(), "log.json"),
 	}
@@ -238,7 +231,7 @@
 	}
 	raw, err := json.Marshal(map[string]any{
 		"nodeName": in.name, "ip": ip, "zone": domain, "region": region, "zones": regions,
-		"listen":    map[string]string{"front": in.callerAddress, "ready": in.readyAddress, "directory": in.lookupAddress, "control": port()},
+		"listen":    map[string]string{"front": in.callerAddress, "ready": in.readyAddress, "directory": in.lookupAddress, "control": addresses[3]},
 		"bootstrap": true, "internalPortRange": []int{7220, 7235}, "limits": limits,
 		"bounds":   []string{"grace=" + formatDuration(cmp.Or(f.deployment.grace, shutdownGrace)), "revoke=4s"},
 		"platform": map[string]any{"address": proxyAddress, "form": "table"},
@@ -252,6 +245,22 @@
 	return in
 }
 
+// freeAddresses returns addresses of an IP number that nobody listens at. They are closed only
+// when all are found, so that none is returned twice.
+func freeAddresses(t *testing.T, ip string, count int) []string {
+	t.Helper()
+	var addresses []string
+	for range count {
+		listener, err := net.Listen("tcp4", ip+":0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = listener.Close() }()
+		addresses = append(addresses, listener.Addr().String())
+	}
+	return addresses
+}
+
 // start starts the instance's process, which appends its log to logFile.
 func (in *instance) start(t *testing.T) {
 	t.Helper()
