tokens: move tokens with one lease only

Cause found by reading: a lessor offers the tokens that pass to a new owner with its lease for 2 s. If it paused an owner within that time, it published another lease with the same owners and offered the tokens with that one, too. An owner takes them with a lease that begins there, and once its lease had ended in between it took the second one for that. TestHandoversKeepTheRate does not show it, since its buckets are nearly empty when they move. The tokens are dropped now when a lease of the same owners is published; dropping is always safe.

TestTokensAreMovedOnce failed before (moved tokens:50 with the next lease).

--- a/tokens/idle_test.go
+++ b/tokens/idle_test.go
@@ -71,3 +71,25 @@
 		f.check(rt)
 	})
 }
+
+// TestTokensAreMovedOnce has a lessor pause an owner right after it has moved tokens to it. It
+// guards against moving them again with the next lease, which an owner whose lease has ended
+// meanwhile would take for new ones.
+func TestTokensAreMovedOnce(t *testing.T) {
+	manual := &clock.Manual{}
+	manual.Set(clock.Second)
+	limiter, _, _ := newTestLimiters(manual)
+	limiter.Refresh()
+	limiter.moved["w"] = 50
+	limiter.publish(manual.Now(), true)
+	limiter.peerAt("owner").process = 1
+	if first := limiter.buildAsk("owner", nil); len(first.GetMoved()) != 1 {
+		t.Fatalf("moved with the first lease: %v", first.GetMoved())
+	}
+	limiter.peerAt("owner").stating = false
+	limiter.lessor.Pause([]uint64{1})
+	limiter.publish(manual.Now(), false)
+	if next := limiter.buildAsk("owner", nil); next.GetLease() == nil || len(next.GetMoved()) != 0 {
+		t.Errorf("moved with the next lease: %v", next)
+	}
+}
--- a/tokens/leases.go
+++ b/tokens/leases.go
@@ -230,6 +230,11 @@
 	if len(lease.Former) > 0 || len(l.moved) == 0 {
 		return
 	}
+	if !ownersChanged {
+		// The new owners may have received them with the lease before.
+		clear(l.moved)
+		return
+	}
 	l.movedUntil = now + movedTime
 	for workspace, amount := range l.moved {
 		if tokens, ok := l.workspaces[workspace]; ok && lease.Borrower(tokens.key) == l.config.Process {
