tokens: bound the cost of the first request of a workspace

Read once more: the first request of an idle workspace filled its bucket through up to 256 periods, each with as many leases as instances had stated different ones. The history is bounded by the leases of all its periods together now, 512.

The model of the fleet counts tokens that are given back by the bucket of the owner, before and after; a lease in the same message is taken over before, so that what it changes does not count as given back. A comment of responsetest is reworded.

--- a/http1/responsetest/serve.go
+++ b/http1/responsetest/serve.go
@@ -9,7 +9,7 @@
 	"github.com/valyala/fasthttp"
 )
 
-// InvalidHeads are the status line and a field of responses that are none.
+// InvalidHeads are the status line, and maybe a field, of invalid responses.
 var InvalidHeads = map[string]string{
 	"status 000":                "HTTP/1.1 000 Said\r\n",
 	"status 099":                "HTTP/1.1 099 Said\r\n",
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -199,6 +199,11 @@
 	return Holdings{process: h.process, groups: groups}
 }
 
+// Leases returns how many different leases these are.
+func (h Holdings) Leases() int {
+	return len(h.groups)
+}
+
 // Shares returns how many shares of a workspace's limit the leases give the process.
 func (h Holdings) Shares(workspace uint64) int {
 	shares := 0
--- a/tokens/bench_test.go
+++ b/tokens/bench_test.go
@@ -167,3 +167,32 @@
 		})
 	}
 }
+
+// BenchmarkNewWorkspace is the first request of a workspace that was idle, by the number of
+// different leases, while leases change all the time.
+func BenchmarkNewWorkspace(b *testing.B) {
+	for _, leases := range []int{3, 105} {
+		b.Run(fmt.Sprint(leases), func(b *testing.B) {
+			ledger := quota.NewLedger(1)
+			for n := range leases {
+				addLease(ledger, n)
+			}
+			history := newHistory(0, holding{})
+			for n := range clock.Millis(1000) {
+				history.add(n, holding{leases: ledger.Holdings(), share: 0.01})
+			}
+			for b.Loop() {
+				history.bucket(modelKey, quota.Limit{RatePerS: 100, Burst: 100})
+			}
+		})
+	}
+}
+
+// addLease records the lease of one lessor, unlike those of the others.
+func addLease(ledger *quota.Ledger, n int) {
+	lease := &quota.Lease{Term: clock.Second}
+	for owner := range uint64(6) {
+		lease.Owners = append(lease.Owners, quota.Owner{Process: owner + 1, Key: uint64(n)<<8 | owner})
+	}
+	ledger.Record(0, uint64(n+1), 1, lease, lease.Hash(), clock.Second)
+}
--- a/tokens/history.go
+++ b/tokens/history.go
@@ -12,6 +12,8 @@
 	history struct {
 		// periods are in the order of their times, the last one is the present.
 		periods []period
+		// steps is the work of filling a bucket through all periods.
+		steps int
 	}
 
 	// period is a time in which the leases were the same. It lasts until the next one.
@@ -29,31 +31,33 @@
 )
 
 const (
-	// maxPeriods and maxHistory bound the history. A bucket is taken to have been empty
-	// before, which costs it nothing if it has filled since.
-	maxPeriods = 256
+	// maxSteps and maxHistory bound the history, the first one independently of the size of the
+	// fleet. A bucket is taken to have been empty before, which costs it nothing if it has
+	// filled since.
+	maxSteps   = 512
 	maxHistory = 60 * clock.Second
 )
 
 // newHistory returns a history that begins with empty buckets.
 func newHistory(from clock.Millis, first holding) *history {
-	return &history{periods: []period{{holding: first, from: from}}}
+	return &history{periods: []period{{holding: first, from: from}}, steps: first.steps()}
 }
 
 // add begins a period, and forgets those that ended long ago. A time before the present period
 // counts as its beginning.
 func (h *history) add(from clock.Millis, next holding) {
 	last := &h.periods[len(h.periods)-1]
+	h.steps += next.steps()
 	if from <= last.from {
+		h.steps -= last.steps()
 		last.holding = next
-		return
+	} else {
+		h.periods = append(h.periods, period{holding: next, from: from})
 	}
-	h.periods = append(h.periods, period{holding: next, from: from})
-	first := max(0, len(h.periods)-maxPeriods)
-	for h.periods[first+1].from < from-maxHistory {
-		first++
+	for len(h.periods) > 1 && (h.steps > maxSteps || h.periods[1].from < from-maxHistory) {
+		h.steps -= h.periods[0].steps()
+		h.periods = h.periods[1:]
 	}
-	h.periods = h.periods[first:]
 }
 
 // current returns what is leased to this instance now.
@@ -74,3 +78,8 @@
 func (h holding) fraction(key uint64) float64 {
 	return min(1, h.share*float64(h.leases.Shares(key)))
 }
+
+// steps returns the work of counting the shares of one workspace.
+func (h holding) steps() int {
+	return 1 + h.leases.Leases()
+}
--- a/tokens/idle_test.go
+++ b/tokens/idle_test.go
@@ -72,6 +72,26 @@
 	})
 }
 
+// TestHistoryIsBounded guards against first requests that cost the more the larger the fleet is
+// and the more its leases change.
+func TestHistoryIsBounded(t *testing.T) {
+	ledger := quota.NewLedger(1)
+	history := newHistory(0, holding{})
+	for n := range 2 * maxSteps {
+		if n < maxSteps/2 {
+			addLease(ledger, n)
+		}
+		history.add(clock.Millis(n/3), holding{leases: ledger.Holdings(), share: 0.01})
+		steps := 0
+		for _, p := range history.periods {
+			steps += p.steps()
+		}
+		if steps != history.steps || (steps > maxSteps && len(history.periods) > 1) {
+			t.Fatalf("after %d changes a bucket takes %d steps, counted as %d, want at most %d", n+1, steps, history.steps, maxSteps)
+		}
+	}
+}
+
 // TestTokensAreMovedOnce has a lessor pause an owner right after it has moved tokens to it. It
 // guards against moving them again with the next lease, which an owner whose lease has ended
 // meanwhile would take for new ones.
--- a/tokens/model_test.go
+++ b/tokens/model_test.go
@@ -222,31 +222,16 @@
 }
 
 // handle handles a message to this instance and records the tokens that it gives out and takes
-// back.
+// back. The lease is taken over first, which may change the bucket, too.
 func (i *modelInstance) handle(ask *wire.TokenAsk) *wire.TokenGrant {
-	given, givenBack := 0.0, 0.0
-	for _, want := range ask.GetWants() {
-		givenBack += want.GetGiveBack()
-	}
-	if givenBack == 0 {
-		grant := i.limiter.HandleTokenAsk(ask)
-		for _, part := range grant.GetParts() {
-			given += part.GetTokens()
-		}
-		i.fleet.give(given)
-		return grant
-	}
+	wants := ask.GetWants()
+	ask.Wants = nil
+	recorded := i.limiter.HandleTokenAsk(ask)
+	ask.Wants = wants
 	before := i.bucketTokens()
 	grant := i.limiter.HandleTokenAsk(ask)
-	moved := i.bucketTokens() - before
-	for _, part := range grant.GetParts() {
-		given += part.GetTokens()
-	}
-	for _, returned := range grant.GetReturned() {
-		moved += returned.GetTokens()
-	}
-	// A full bucket does not take back all.
-	i.fleet.give(given - min(max(moved+given, 0), givenBack))
+	i.fleet.give(before - i.bucketTokens())
+	grant.Returned = recorded.GetReturned()
 	return grant
 }
 
@@ -263,86 +248,6 @@
 	}
 }
 
-// serve has a request arrive, which may wait for a token.
-func (i *modelInstance) serve() {
-	limiter, arrivedAt := i.limiter, i.fleet.now
-	var waiting *waiter
-	i.record(arrivedAt, nil, func() (admitted bool) {
-		admitted, waiting = limiter.takeOrWait(modelWorkspace)
-		return admitted
-	}, &waiting)
-	if waiting == nil {
-		return
-	}
-	i.await(waiting, i.fleet.now+limiter.tokenWait(), arrivedAt)
-}
-
-// await has a request wait until it is woken or has waited for long enough, as Limiter.Admit
-// does, unless the process ends before.
-func (i *modelInstance) await(waiting *waiter, until, arrivedAt clock.Millis) {
-	f, limiter := i.fleet, i.limiter
-	i.fetch()
-	var look func()
-	look = func() {
-		if i.limiter != limiter || !i.up {
-			return
-		}
-		isWoken := false
-		select {
-		case <-waiting.woken:
-			isWoken = true
-		default:
-		}
-		switch {
-		case f.now < i.pausedUntil || (!isWoken && f.now < until):
-			f.at(f.now+modelStep, look)
-		case f.now >= until:
-			i.record(arrivedAt, waiting, func() bool { return limiter.takeAtLast(modelWorkspace, waiting) }, nil)
-		default:
-			var again *waiter
-			i.record(arrivedAt, waiting, func() (admitted bool) {
-				admitted, again = limiter.takeOrWaitAgain(modelWorkspace, waiting)
-				return admitted
-			}, &again)
-			if again != nil {
-				i.await(again, until, arrivedAt)
-			}
-		}
-	}
-	look()
-}
-
-// fetch asks the owner of the bucket for tokens, as Limiter.fetch does.
-func (i *modelInstance) fetch() {
-	limiter := i.limiter
-	address := limiter.ownerAddress(i.Now(), limiter.tokensOf(i.Now(), modelWorkspace))
-	if address != i.name {
-		i.exchange(address, []string{modelWorkspace})
-		return
-	}
-	i.fleet.at(i.fleet.now+noPartPause, func() { limiter.wakeWaiters(modelWorkspace) })
-}
-
-// record counts whether a request gets a token, and whether that one was given out by this
-// instance's own bucket. The request may have waited before. One that waits is not counted yet.
-func (i *modelInstance) record(arrivedAt clock.Millis, before *waiter, take func() bool, next **waiter) {
-	held := i.limiter.tokensOf(i.Now(), modelWorkspace).Tokens()
-	admitted := take()
-	isFetched := before != nil && before.hasToken
-	isCounted := arrivedAt >= i.fleet.countFrom
-	switch {
-	case admitted:
-		if isCounted {
-			i.fleet.admitted++
-		}
-		if !isFetched && i.limiter.workspaces[modelWorkspace].Tokens() == held {
-			i.fleet.give(1)
-		}
-	case (next == nil || *next == nil) && isCounted:
-		i.fleet.refused++
-	}
-}
-
 // run plays the fleet for a time, with requests at a multiple of the rate.
 func (f *modelFleet) run(length clock.Millis, load float64) {
 	due := 0.0
