--- a/review/standin-3/client.go
+++ b/review/standin-3/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -131,7 +132,7 @@
 	for begun := time.Now(); ; {
 		n, err := io.CopyN(io.Discard, body, int64(u.bytesPerS/10))
 		total += n
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			return total, nil
 		}
 		if err != nil {
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -22,7 +22,6 @@
 		record  *record
 		out     *os.File
 		trouble bool
-		seed    uint64
 	}
 
 	// shape is what differs between the scripts.
@@ -96,7 +95,7 @@
 
 // note writes a line to the record.
 func (w *world) note(format string, args ...any) {
-	fmt.Fprintf(w.out, format+"\n", args...)
+	_, _ = fmt.Fprintf(w.out, format+"\n", args...)
 }
 
 // noteCall writes what was sent, answered and run of one request to the record.
