--- a/review/standin-3/slow.go
+++ b/review/standin-3/slow.go
@@ -15,7 +15,7 @@
 func playSlow(w *world) (bool, error) {
 	err := w.start(shape{
 		zones: []string{"sierra-a", "costa-a"}, targets: 2, slots: 9, work: 40 * time.Millisecond, body: largeBody,
-		memoryMB: 544, maxFDs: 8200, timeout: 25 * time.Second, objective: 15 * time.Second, maxConns: 400,
+		memoryMB: 536, maxFDs: 8192, timeout: 25 * time.Second, objective: 15 * time.Second, maxConns: 400,
 	})
 	if err != nil {
 		return false, err
