--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -40,6 +40,9 @@
 	exitHeld = iota
 	exitBroken
 	exitNotRun
+
+	// firstVersion is the version of the first config.
+	firstVersion = 7
 )
 
 // cases maps the names of the scripts to what they play. A case reports whether its rule was
@@ -47,6 +50,7 @@
 var cases = map[string]func(w *world) (bool, error){
 	"evict": playEvict,
 	"slow":  playSlow,
+	"name":  playName,
 }
 
 func main() {
@@ -151,7 +155,7 @@
 		w.targets = append(w.targets, t)
 		store.put("servers", t.id, t.entry("holds", zone, time.Now().UnixMilli()-60000))
 	}
-	store.put("op", "config", s.config())
+	store.put("op", "config", s.config(firstVersion, map[string]string{"tenant-a": "key-a", "tenant-b": "key-b"}))
 	for i, zone := range s.zones {
 		n, err := w.newNode(i, zone)
 		if err != nil {
@@ -171,20 +175,23 @@
 	return nil
 }
 
-// config returns the operator's config.
-func (s shape) config() map[string]any {
+// config returns a version of the operator's config. Tenants holds the keys by the tenants' names.
+func (s shape) config(version int, tenants map[string]string) map[string]any {
 	resource := func(kind, name string, spec map[string]any) map[string]any {
 		return map[string]any{"resourceKind": kind, "metadata": map[string]any{"name": name}, "spec": spec}
 	}
-	return map[string]any{"version": 7, "resources": []any{
+	resources := []any{
 		resource("routes", "r-hold", map[string]any{
 			"host": "shop.example", "prefix": "/hold/", "kind": "unsafe", "timeout": fmt.Sprintf("%dms", s.timeout.Milliseconds()),
 			"slo": fmt.Sprintf("%dms", s.objective.Milliseconds()), "priority": 1, "service": "holds", "maxAttempts": 2,
 		}),
 		resource("services", "holds", map[string]any{"healthPath": "/health", "maxConns": s.maxConns, "coldStart": "3s", "coldPerS": 30.0}),
-		resource("tenants", "tenant-a", map[string]any{"apiKeys": []string{"key-a"}, "priority": 1, "ratePerS": 0}),
 		resource("limits", "", map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1048576, "headerTimeout": "3000ms", "idleTimeout": "15000ms"}),
-	}}
+	}
+	for name, key := range tenants {
+		resources = append(resources, resource("tenants", name, map[string]any{"apiKeys": []string{key}, "priority": 1, "ratePerS": 0}))
+	}
+	return map[string]any{"version": version, "resources": resources}
 }
 
 var errNoCalls = errors.New("no request was answered")
