--- a/review/standin-3/evict.go
+++ b/review/standin-3/evict.go
@@ -34,9 +34,14 @@
 	}
 	var users sync.WaitGroup
 	stopped := make(chan struct{})
+	var resolvers []*resolver
 	for _, n := range w.nodes {
+		r := &resolver{directory: n.directory, zone: n.zone, region: n.region}
+		resolvers = append(resolvers, r)
+		r.lookup()
+		users.Go(func() { r.run(stopped) })
 		for range usualUsers {
-			users.Go(func() { w.poll(n.front, stopped) })
+			users.Go(func() { w.poll(r, stopped) })
 		}
 	}
 	time.Sleep(burstGap)
@@ -48,9 +53,9 @@
 		w.note("burst %d begins at %s", number+1, time.Now().Format("15:04:05.000"))
 		over := make(chan struct{})
 		extra := int(usualUsers * (burstFactor - 1))
-		for _, n := range w.nodes {
+		for _, r := range resolvers {
 			for range extra {
-				users.Go(func() { w.poll(n.front, over) })
+				users.Go(func() { w.poll(r, over) })
 			}
 		}
 		time.Sleep(burstTime)
@@ -63,9 +68,10 @@
 }
 
 // poll is a client that sends a request every pollTime, more or less, on a connection that it
-// keeps, until it is to stop.
-func (w *world) poll(front string, stop <-chan struct{}) {
-	u := &user{node: front, path: "/hold/17", budget: holdBudget, key: "key-a"}
+// keeps, until it is to stop. It connects to an address that the directory names, and leaves one
+// that the directory names no longer.
+func (w *world) poll(r *resolver, stop <-chan struct{}) {
+	u := &user{path: "/hold/17", budget: holdBudget, key: "key-a"}
 	defer u.close()
 	pause := time.Duration(rand.Int64N(int64(pollTime)))
 	for {
@@ -74,6 +80,12 @@
 			return
 		case <-time.After(pause):
 		}
+		if u.conn != nil && !r.has(u.node) {
+			u.close()
+		}
+		if u.conn == nil {
+			u.node = r.pick()
+		}
 		w.record.add(u.send())
 		pause = pollTime + time.Duration(rand.Int64N(int64(pollTime/10)))
 	}
