--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -7,7 +7,9 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -82,6 +84,13 @@
 		out: out, trouble: os.Getenv("TROUBLE") != "0",
 	}
 	defer w.end()
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-stopped
+		w.end()
+		os.Exit(exitNotRun)
+	}()
 	broken, err := play(w)
 	if err != nil {
 		w.note("the case could not run: %v", err)
