--- a/review/13/run.sh
+++ /dev/null
@@ -1,5 +0,0 @@
-#!/bin/sh
-# Plays a client that reads its answers slowly, but steadily.
-# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
-cd "$(dirname "$0")/../.." || exit 2
-exec target/review-3/standin-3 slow target/bulrushferry review/13/record.txt
