--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -28,8 +28,10 @@
 
 	// shape is what differs between the scripts.
 	shape struct {
-		zones              []string
-		targets, slots     int
+		zones          []string
+		targets, slots int
+		// orderTargets are those of the second service.
+		orderTargets       int
 		work               time.Duration
 		body               int
 		memoryMB, maxFDs   int
@@ -51,8 +53,8 @@
 // broken.
 var cases = map[string]func(w *world) (bool, error){
 	"evict": playEvict,
-	"slow":  playSlow,
 	"name":  playName,
+	"part":  playPart,
 }
 
 func main() {
@@ -164,6 +166,14 @@
 		w.targets = append(w.targets, t)
 		store.put("servers", t.id, t.entry("holds", zone, time.Now().UnixMilli()-60000))
 	}
+	for i := range s.orderTargets {
+		t, err := startTarget(fmt.Sprintf("i-%08x", 0xb2000000+i), s.slots, s.work, body, w.runs)
+		if err != nil {
+			return err
+		}
+		w.targets = append(w.targets, t)
+		store.put("servers", t.id, t.entry("orders", s.zones[i%len(s.zones)], time.Now().UnixMilli()-60000))
+	}
 	store.put("op", "config", s.config(firstVersion, map[string]string{"tenant-a": "key-a", "tenant-b": "key-b"}))
 	for i, zone := range s.zones {
 		n, err := w.newNode(i, zone)
@@ -186,15 +196,21 @@
 
 // config returns a version of the operator's config. Tenants holds the keys by the tenants' names.
 func (s shape) config(version int, tenants map[string]string) map[string]any {
+	return s.configTo("holds", version, tenants)
+}
+
+// configTo returns a version whose route for holds goes to a service.
+func (s shape) configTo(service string, version int, tenants map[string]string) map[string]any {
 	resource := func(kind, name string, spec map[string]any) map[string]any {
 		return map[string]any{"resourceKind": kind, "metadata": map[string]any{"name": name}, "spec": spec}
 	}
 	resources := []any{
 		resource("routes", "r-hold", map[string]any{
 			"host": "shop.example", "prefix": "/hold/", "kind": "unsafe", "timeout": fmt.Sprintf("%dms", s.timeout.Milliseconds()),
-			"slo": fmt.Sprintf("%dms", s.objective.Milliseconds()), "priority": 1, "service": "holds", "maxAttempts": 2,
+			"slo": fmt.Sprintf("%dms", s.objective.Milliseconds()), "priority": 1, "service": service, "maxAttempts": 2,
 		}),
 		resource("services", "holds", map[string]any{"healthPath": "/health", "maxConns": s.maxConns, "coldStart": "3s", "coldPerS": 30.0}),
+		resource("services", "orders", map[string]any{"healthPath": "/health", "maxConns": s.maxConns, "coldStart": "3s", "coldPerS": 30.0}),
 		resource("limits", "", map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1048576, "headerTimeout": "3000ms", "idleTimeout": "15000ms"}),
 	}
 	for name, key := range tenants {
