--- a/review/standin-3/evict.go
+++ b/review/standin-3/evict.go
@@ -41,7 +41,7 @@
 		r.lookup()
 		users.Go(func() { r.run(stopped) })
 		for range usualUsers {
-			users.Go(func() { w.poll(r, stopped) })
+			users.Go(func() { w.poll(r, pollTime, stopped) })
 		}
 	}
 	time.Sleep(burstGap)
@@ -55,7 +55,7 @@
 		extra := int(usualUsers * (burstFactor - 1))
 		for _, r := range resolvers {
 			for range extra {
-				users.Go(func() { w.poll(r, over) })
+				users.Go(func() { w.poll(r, pollTime, over) })
 			}
 		}
 		time.Sleep(burstTime)
@@ -67,13 +67,13 @@
 	return w.judgeLost()
 }
 
-// poll is a client that sends a request every pollTime, more or less, on a connection that it
+// poll is a client that sends a request at each interval, more or less, on a connection that it
 // keeps, until it is to stop. It connects to an address that the directory names, and leaves one
 // that the directory names no longer.
-func (w *world) poll(r *resolver, stop <-chan struct{}) {
+func (w *world) poll(r *resolver, interval time.Duration, stop <-chan struct{}) {
 	u := &user{path: "/hold/17", budget: holdBudget, key: "key-a"}
 	defer u.close()
-	pause := time.Duration(rand.Int64N(int64(pollTime)))
+	pause := time.Duration(rand.Int64N(int64(interval)))
 	for {
 		select {
 		case <-stop:
@@ -87,7 +87,7 @@
 			u.node = r.pick()
 		}
 		w.record.add(u.send())
-		pause = pollTime + time.Duration(rand.Int64N(int64(pollTime/10)))
+		pause = interval + time.Duration(rand.Int64N(int64(interval/10)))
 	}
 }
 
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -52,6 +52,7 @@
 // cases maps the names of the scripts to what they play. A case reports whether its rule was
 // broken.
 var cases = map[string]func(w *world) (bool, error){
+	"crowd": playCrowd,
 	"evict": playEvict,
 	"name":  playName,
 	"part":  playPart,
--- a/review/standin-3/node.go
+++ b/review/standin-3/node.go
@@ -19,6 +19,8 @@
 		front, ready, directory, control string
 		file                             string
 		cmd                              *exec.Cmd
+		// exited is closed once the process has ended.
+		exited chan struct{}
 	}
 
 	// deployment is what the settings files of all instances have in common.
@@ -89,16 +91,34 @@
 	n.cmd = exec.Command(binary, "steer")
 	n.cmd.Env = []string{"BULRUSHFERRY_NODE_FILE=" + n.file, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
 	n.cmd.Stdout, n.cmd.Stderr = log, log
-	return n.cmd.Start()
+	if err := n.cmd.Start(); err != nil {
+		return err
+	}
+	n.exited = make(chan struct{})
+	go func() {
+		_ = n.cmd.Wait()
+		close(n.exited)
+	}()
+	return nil
+}
+
+// hasExited reports whether the process has ended.
+func (n *node) hasExited() bool {
+	select {
+	case <-n.exited:
+		return true
+	default:
+		return false
+	}
 }
 
 // stop ends the instance's process.
 func (n *node) stop() {
-	if n.cmd == nil || n.cmd.Process == nil {
+	if n.exited == nil {
 		return
 	}
 	_ = n.cmd.Process.Signal(syscall.SIGKILL)
-	_ = n.cmd.Wait()
+	<-n.exited
 }
 
 // awaitReady waits until the instance says that it is ready.
